Keep one member a worker and few connections; let ends of late answers count

Looks were lost, or answered after the leader had given up on them; the worker had told its ends then, and the leader started the tasks again a lease later. Ruled out: a takeover near (none from 35 s on), a lease granted for longer than the leader counts (the second start is 5.18 s after the end, the lease 5 s).

--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -383,6 +383,17 @@
 	}
 }
 
+void
+sched_ends_told(struct sched *s, struct sched_worker *worker,
+    const struct look_result *result, int64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < result->nfinished; i++)
+		note_end(s, worker, &result->finished[i], false, now_ms);
+	sched_due(s, 0);
+}
+
 void
 sched_look_answered(struct sched *s, struct sched_worker *worker,
     enum worker_answer answer, const struct look_result *result, int64_t now_ms)
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -443,6 +443,12 @@
     int64_t clock_ms, int64_t now_ms);
 void sched_look_answered(struct sched *, struct sched_worker *,
     enum worker_answer, const struct look_result *, int64_t now_ms);
+/*
+ * Ends from an answer that came too late to be one.  What it says of running
+ * tasks may be outdated; an end stays true.
+ */
+void sched_ends_told(struct sched *, struct sched_worker *,
+    const struct look_result *, int64_t now_ms);
 void sched_pace_answered(struct sched *, struct sched_worker *,
     const struct task_name *, uint32_t attempt, enum worker_answer,
     int64_t now_ms);
--- a/entry/carrier.c
+++ b/entry/carrier.c
@@ -2,22 +2,35 @@
 #include <string.h>
 
 #include "carry.h"
+#include "clock.h"
 #include "log.h"
 #include "node_int.h"
 
 /* The member's side of carry.h: make a leader's calls, give the answers back.
  */
 
+/*
+ * While the connection to the leader is made anew, answers are kept for so
+ * long.  A worker that has told of an end counts it as told; if the leader
+ * never hears of it, it starts the task again when the worker's lease is over.
+ */
+#define KEEP_MS 5000
+#define KEPT_RETRY_MS 50
+/* Answers are gathered for so long. */
+#define REPLY_MS 2
+
 /* Answers for one leader, gathered for a moment. */
 struct answers {
 	TAILQ_ENTRY(answers) link;
 	char leader[ELECT_ID_MAX];
+	int64_t since_ms;
 	json_t *list;
 };
 
 struct carried_call {
 	struct node *node;
 	char leader[ELECT_ID_MAX];
+	char worker[SCHED_WORKER_ID_MAX];
 	json_int_t number;
 	bool look;
 };
@@ -34,28 +47,53 @@
 	if ((answers = calloc(1, sizeof(*answers))) == NULL)
 		return NULL;
 	strlcpy(answers->leader, leader, sizeof(answers->leader));
+	answers->since_ms = clock_now_ms();
 	answers->list = json_array();
 	TAILQ_INSERT_TAIL(&node->answers, answers, link);
 	return answers;
 }
 
+static void
+answers_free(struct node *node, struct answers *answers)
+{
+	TAILQ_REMOVE(&node->answers, answers, link);
+	json_decref(answers->list);
+	free(answers);
+}
+
 void
 carry_reply(struct node *node)
 {
-	struct answers *answers;
+	struct answers *answers, *next;
+	int64_t now_ms;
+	json_t *message;
 
-	while ((answers = TAILQ_FIRST(&node->answers)) != NULL) {
-		TAILQ_REMOVE(&node->answers, answers, link);
-		/* Not sent: the leader gives up on them by itself. */
-		members_send(node, answers->leader,
-		    json_pack("{ss ss so}", "t", "answers", "id", node->id,
-			"answers", answers->list));
-		free(answers);
+	now_ms = clock_now_ms();
+	for (answers = TAILQ_FIRST(&node->answers); answers != NULL;
+	     answers = next) {
+		next = TAILQ_NEXT(answers, link);
+		message = json_pack("{ss ss sO}", "t", "answers", "id",
+		    node->id, "answers", answers->list);
+		if (!members_send(node, answers->leader, message) &&
+		    now_ms - answers->since_ms < KEEP_MS) {
+			node_reply_in(node, KEPT_RETRY_MS);
+			continue;
+		}
+		answers_free(node, answers);
 	}
 }
 
+void
+carry_drop(struct node *node)
+{
+	struct answers *answers;
+
+	while ((answers = TAILQ_FIRST(&node->answers)) != NULL)
+		answers_free(node, answers);
+}
+
 static void
-write_look(json_t *answer, const struct look_result *look)
+write_look(json_t *answer, const char *worker, const struct look_result *look)
 {
 	const struct look_finished *f;
 	const struct look_running *r;
@@ -80,6 +118,7 @@
 			(int)f->task.index, (json_int_t)f->attempt, (int)f->how,
 			f->checkpoint));
 	}
+	json_object_set_new(answer, "worker", json_string(worker));
 	json_object_set_new(answer, "running", running);
 	json_object_set_new(answer, "finished", finished);
 }
@@ -99,9 +138,9 @@
 		    "answer", (int)result->answer, "clock_ms",
 		    (json_int_t)result->clock_ms);
 		if (call->look && result->look != NULL)
-			write_look(answer, result->look);
+			write_look(answer, call->worker, result->look);
 		json_array_append_new(answers->list, answer);
-		node_reply_soon(call->node);
+		node_reply_in(call->node, REPLY_MS);
 	}
 	free(call);
 }
@@ -194,6 +233,7 @@
 		return; /* the leader gives up on it by itself */
 	call->node = node;
 	strlcpy(call->leader, leader, sizeof(call->leader));
+	strlcpy(call->worker, worker.id, sizeof(call->worker));
 	call->number = json_integer_value(json_object_get(order, "number"));
 	read_order(order, &to, &task, &worker);
 	ops = &node->opt.workers;
--- a/entry/carry.c
+++ b/entry/carry.c
@@ -8,6 +8,7 @@
 #include "counter.h"
 #include "log.h"
 #include "node_int.h"
+#include "route.h"
 
 /* The leader's side of orders that members carry; see carry.h. */
 
@@ -24,6 +25,7 @@
 	RB_ENTRY(carried) by_number;
 	uint64_t number;
 	char member[ELECT_ID_MAX];
+	char worker[SCHED_WORKER_ID_MAX];
 	int64_t give_up_ms;
 	worker_done *done;
 	void *ctx;
@@ -33,8 +35,11 @@
 struct carry {
 	struct node *node;
 	struct carried_tree orders;
+	struct routes routes;
 	uint64_t next;
 	bool use;
+	carry_late *late;
+	void *late_ctx;
 };
 
 static int
@@ -49,14 +54,17 @@
 RB_GENERATE(carried_tree, carried, by_number, carried_cmp)
 
 struct carry *
-carry_open(struct node *node)
+carry_open(struct node *node, carry_late *late, void *late_ctx)
 {
 	struct carry *c;
 
 	if ((c = calloc(1, sizeof(*c))) == NULL)
 		return NULL;
 	c->node = node;
+	c->late = late;
+	c->late_ctx = late_ctx;
 	RB_INIT(&c->orders);
+	routes_init(&c->routes);
 	return c;
 }
 
@@ -86,6 +94,7 @@
 
 	while ((order = RB_MIN(carried_tree, &c->orders)) != NULL)
 		lose(c, order);
+	routes_free(&c->routes);
 	free(c);
 }
 
@@ -97,32 +106,10 @@
 	c->use = use;
 }
 
-/* How well a member suits a worker: near it, strong, and spread by hash. */
-static double
-suits(const struct member *member, const struct sched_worker *worker)
-{
-	uint64_t hash;
-	const char *p;
-	double share;
-
-	hash = 1469598103934665603ULL;
-	for (p = member->id; *p != '\0'; p++)
-		hash = (hash ^ (unsigned char)*p) * 1099511628211ULL;
-	for (p = worker->id; *p != '\0'; p++)
-		hash = (hash ^ (unsigned char)*p) * 1099511628211ULL;
-	hash ^= hash >> 29;
-	hash *= 0xbf58476d1ce4e5b9ULL;
-	hash ^= hash >> 32;
-	share = ((double)(hash % 100000) + 1) / 100001;
-	if (strcmp(member->data_center, worker->data_center) != 0)
-		share *= 0.001;
-	/* Of those alike the weight decides how often each is first. */
-	return share * member->power;
-}
-
 static struct member *
 pick_member(struct carry *c, const struct sched_worker *worker)
 {
+	struct route_member candidate;
 	struct member *member, *best;
 	double score, best_score;
 	int64_t now_ms;
@@ -136,7 +123,11 @@
 		if (now_ms - member->heard_ms > FRESH_MS ||
 		    now_ms < member->rest_until_ms)
 			continue;
-		score = suits(member, worker);
+		candidate.id = member->id;
+		candidate.power = member->power;
+		candidate.near =
+		    strcmp(member->data_center, worker->data_center) == 0;
+		score = route_score(&c->routes, &candidate, worker->id, now_ms);
 		if (score > best_score) {
 			best = member;
 			best_score = score;
@@ -147,8 +138,8 @@
 
 /* Takes the order over. */
 static void
-give(struct carry *c, struct member *member, json_t *order, int64_t timeout_ms,
-    worker_done *done, void *ctx)
+give(struct carry *c, struct member *member, const struct sched_worker *worker,
+    json_t *order, int64_t timeout_ms, worker_done *done, void *ctx)
 {
 	struct carried *carried;
 
@@ -158,6 +149,7 @@
 	}
 	carried->number = ++c->next;
 	strlcpy(carried->member, member->id, sizeof(carried->member));
+	strlcpy(carried->worker, worker->id, sizeof(carried->worker));
 	carried->give_up_ms = clock_now_ms() + timeout_ms;
 	carried->done = done;
 	carried->ctx = ctx;
@@ -207,7 +199,7 @@
 		    order, "checkpoint", json_string(from->checkpoint));
 	json_object_set_new(
 	    order, "deadline_ms", json_integer(from->deadline_ms));
-	give(c, member, order, ORDER_MS, done, ctx);
+	give(c, member, from->order.worker, order, ORDER_MS, done, ctx);
 }
 
 static void
@@ -226,7 +218,7 @@
 	}
 	order = write_order("stop", from->worker, from->term);
 	set_task(order, from);
-	give(c, member, order, ORDER_MS, done, ctx);
+	give(c, member, from->worker, order, ORDER_MS, done, ctx);
 }
 
 static void
@@ -247,7 +239,7 @@
 	order = write_order("pace", from->worker, from->term);
 	set_task(order, from);
 	json_object_set_new(order, "percent", json_integer(percent));
-	give(c, member, order, ORDER_MS, done, ctx);
+	give(c, member, from->worker, order, ORDER_MS, done, ctx);
 }
 
 static void
@@ -270,7 +262,8 @@
 	json_object_set_new(
 	    order, "deadline_ms", json_integer(from->deadline_ms));
 	json_object_set_new(order, "wait_ms", json_integer(from->wait_ms));
-	give(c, member, order, from->wait_ms + LOOK_SLACK_MS, done, ctx);
+	give(c, member, from->worker, order, from->wait_ms + LOOK_SLACK_MS,
+	    done, ctx);
 }
 
 void
@@ -308,6 +301,7 @@
 	struct carried *order, *next;
 	struct member *member;
 
+	routes_expire(&c->routes, now_ms);
 	for (order = RB_MIN(carried_tree, &c->orders); order != NULL;
 	     order = next) {
 		next = RB_NEXT(carried_tree, &c->orders, order);
@@ -323,6 +317,11 @@
 
 /* Rows of a look's answer, as the member's side writes them. */
 
+struct look_rows {
+	struct look_running *running;
+	struct look_finished *finished;
+};
+
 static void
 read_task(const json_t *row, size_t at, struct task_name *task)
 {
@@ -376,35 +375,78 @@
 	}
 }
 
+/* The rows of an answer, read; false: no memory. */
+static bool
+read_look(
+    const json_t *answer, struct look_result *look, struct look_rows *rows)
+{
+	look->nrunning = json_array_size(json_object_get(answer, "running"));
+	look->nfinished = json_array_size(json_object_get(answer, "finished"));
+	rows->running = calloc(look->nrunning + 1, sizeof(*rows->running));
+	rows->finished = calloc(look->nfinished + 1, sizeof(*rows->finished));
+	if (rows->running == NULL || rows->finished == NULL)
+		return false;
+	read_rows(answer, rows->running, rows->finished);
+	look->running = rows->running;
+	look->finished = rows->finished;
+	return true;
+}
+
+static void
+free_look(struct look_rows *rows)
+{
+	free(rows->running);
+	free(rows->finished);
+}
+
 static void
 finish_look(struct carry *c, struct carried *order, const json_t *answer,
     struct worker_result *result)
 {
-	struct look_finished *finished;
-	struct look_running *running;
 	struct look_result look;
-	size_t nfinished, nrunning;
-
-	nrunning = json_array_size(json_object_get(answer, "running"));
-	nfinished = json_array_size(json_object_get(answer, "finished"));
-	running = calloc(nrunning + 1, sizeof(*running));
-	finished = calloc(nfinished + 1, sizeof(*finished));
-	if (running == NULL || finished == NULL) {
-		free(running);
-		free(finished);
+	struct look_rows rows;
+
+	look.clock_ms = result->clock_ms;
+	if (read_look(answer, &look, &rows)) {
+		result->look = &look;
+		finish(c, order, result);
+	} else
 		lose(c, order);
+	free_look(&rows);
+}
+
+/*
+ * A member's answer to a look that was given up on.  The worker has told its
+ * ends, so a task that is done there must not be started again once the
+ * worker seems to have lapsed.
+ */
+static void
+finish_late(struct carry *c, const json_t *answer)
+{
+	struct look_result look;
+	struct look_rows rows;
+	const char *worker;
+
+	worker = json_string_value(json_object_get(answer, "worker"));
+	if (worker == NULL || json_object_get(answer, "finished") == NULL)
 		return;
+	memset(&look, 0, sizeof(look));
+	if (read_look(answer, &look, &rows) && look.nfinished > 0) {
+		counter_reason("lagoonpin_carry_late", "ends");
+		c->late(worker, &look, c->late_ctx);
 	}
-	read_rows(answer, running, finished);
-	look.clock_ms = result->clock_ms;
-	look.running = running;
-	look.nrunning = nrunning;
-	look.finished = finished;
-	look.nfinished = nfinished;
-	result->look = &look;
-	finish(c, order, result);
-	free(running);
-	free(finished);
+	free_look(&rows);
+}
+
+/* The member may be the one that can't reach the worker. */
+static void
+note_route(
+    struct carry *c, const struct carried *order, enum worker_answer answer)
+{
+	if (answer == ANSWER_LOST || answer == ANSWER_NOT_SENT)
+		route_lost(&c->routes, order->worker, clock_now_ms());
+	else
+		route_answered(&c->routes, order->worker);
 }
 
 static void
@@ -415,11 +457,14 @@
 
 	key.number =
 	    (uint64_t)json_integer_value(json_object_get(answer, "number"));
-	if ((order = RB_FIND(carried_tree, &c->orders, &key)) == NULL)
+	if ((order = RB_FIND(carried_tree, &c->orders, &key)) == NULL) {
+		finish_late(c, answer);
 		return;
+	}
 	memset(&result, 0, sizeof(result));
 	result.answer = (enum worker_answer)json_integer_value(
 	    json_object_get(answer, "answer"));
+	note_route(c, order, result.answer);
 	result.clock_ms =
 	    json_integer_value(json_object_get(answer, "clock_ms"));
 	if (result.answer == ANSWER_OK &&
@@ -430,22 +475,11 @@
 }
 
 void
-carry_answered(struct carry *c, const json_t *message, int64_t now_ms)
+carry_answered(struct carry *c, const json_t *message)
 {
 	const json_t *answer;
-	struct member *member;
-	const char *from;
 	size_t i;
 
-	from = json_string_value(json_object_get(message, "id"));
-	member = from != NULL ? member_get(c->node, from) : NULL;
 	json_array_foreach(json_object_get(message, "answers"), i, answer)
-	{
-		/* It may be the member that can't reach the worker. */
-		if (member != NULL &&
-		    json_integer_value(json_object_get(answer, "answer")) ==
-			ANSWER_LOST)
-			member->rest_until_ms = now_ms + REST_MS;
-		on_answer(c, answer);
-	}
+	    on_answer(c, answer);
 }
--- a/entry/carry.h
+++ b/entry/carry.h
@@ -17,8 +17,12 @@
 struct carry;
 struct node;
 
+/* Ends that a worker told in an answer to a look that was given up on. */
+typedef void carry_late(
+    const char *worker, const struct look_result *, void *ctx);
+
 /* NULL: no memory. */
-struct carry *carry_open(struct node *);
+struct carry *carry_open(struct node *, carry_late *, void *ctx);
 /* Calls under way are answered as lost before this returns. */
 void carry_close(struct carry *);
 /* The workers' table for the leader: by members, or directly. */
@@ -30,11 +34,13 @@
 /* Give up on what wasn't answered. */
 void carry_tick(struct carry *, int64_t now_ms);
 /* A member's answers arrived. */
-void carry_answered(struct carry *, const json_t *message, int64_t now_ms);
+void carry_answered(struct carry *, const json_t *message);
 
 /* The member's side: orders of a leader arrived. */
 void carry_orders(struct node *, const json_t *message);
 /* Send the answers that came since the last call. */
 void carry_reply(struct node *);
+/* Forget those that couldn't be sent. */
+void carry_drop(struct node *);
 
 #endif /* CARRY_H */
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -130,7 +130,7 @@
 	options.actions = &lead_sched_actions;
 	options.ctx = l;
 	l->sched = sched_open(&options);
-	l->carry = carry_open(node);
+	l->carry = carry_open(node, lead_late_ends, l);
 	if (l->sched == NULL || l->carry == NULL)
 		goto fail;
 	carry_ops(l->carry, &l->workers);
@@ -287,11 +287,11 @@
 }
 
 void
-lead_carried(struct lead *l, const json_t *message, int64_t now_ms)
+lead_carried(struct lead *l, const json_t *message)
 {
 	if (l == NULL || l->closed || !l->ready)
 		return;
-	carry_answered(l->carry, message, now_ms);
+	carry_answered(l->carry, message);
 	lead_kick(l);
 }
 
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -7,6 +7,9 @@
 
 /* The scheduler's actions as calls to workers, and their answers. */
 
+/* A worker is called silent after so many looks in a row without an answer. */
+#define SILENT_MISSES 2
+
 struct call {
 	struct lead *lead;
 	char worker[SCHED_WORKER_ID_MAX];
@@ -170,19 +173,54 @@
 	l->workers.pace(l->workers.self, &order, percent, on_pace, call);
 }
 
+/* One line at the first of some looks without an answer, then ever fewer. */
+static void
+log_silence(const struct sched_worker *worker, enum worker_answer answer,
+    uint32_t misses_before, int64_t now_ms)
+{
+	uint32_t misses;
+
+	misses = worker->misses;
+	if (misses_before >= SILENT_MISSES && misses == 0)
+		log_info("worker_answers", "worker=%s missed=%u", worker->id,
+		    misses_before);
+	if (misses >= SILENT_MISSES && (misses & (misses - 1)) == 0)
+		log_warn("worker_silent",
+		    "worker=%s missed=%u answer=%d silent_ms=%lld", worker->id,
+		    misses, (int)answer,
+		    (long long)(now_ms - worker->heard_ms));
+}
+
 static void
 on_look(const struct worker_result *result, void *ctx)
 {
 	struct sched_worker *worker;
 	struct call *call;
+	uint32_t misses;
+	int64_t now_ms;
 
 	call = ctx;
-	if ((worker = call_worker(call)) != NULL)
+	now_ms = clock_now_ms();
+	if ((worker = call_worker(call)) != NULL) {
+		misses = worker->misses;
 		sched_look_answered(call->lead->sched, worker, result->answer,
-		    result->look, clock_now_ms());
+		    result->look, now_ms);
+		log_silence(worker, result->answer, misses, now_ms);
+	}
 	call_end(call);
 }
 
+void
+lead_late_ends(const char *id, const struct look_result *look, void *ctx)
+{
+	struct sched_worker *worker;
+	struct lead *l;
+
+	l = ctx;
+	if ((worker = sched_worker_find(l->sched, id)) != NULL)
+		sched_ends_told(l->sched, worker, look, clock_now_ms());
+}
+
 static void
 look(struct sched *s, struct sched_worker *worker, int64_t deadline_ms,
     int64_t wait_ms, void *ctx)
--- a/entry/members.c
+++ b/entry/members.c
@@ -412,7 +412,7 @@
 	else if (strcmp(type, "orders") == 0)
 		carry_orders(node, message);
 	else if (strcmp(type, "answers") == 0)
-		lead_carried(node->lead, message, now_ms);
+		lead_carried(node->lead, message);
 	else
 		counter_reason("lagoonpin_peer_refused", "unknown_type");
 	json_decref(message);
--- a/entry/node.c
+++ b/entry/node.c
@@ -9,8 +9,6 @@
 /* The parts of an entry, and the timer that drives them. */
 
 #define TICK_MS 20
-/* Answers of workers are gathered for so long. */
-#define REPLY_MS 2
 /* Leaving, requests under way get so long to be answered. */
 #define LEAVE_MS 1500
 
@@ -162,6 +160,7 @@
 	node->lead = NULL;
 	asks_close(node);
 	accept_close(node->accept);
+	carry_drop(node);
 	members_close(node);
 	json_decref(node->pending);
 	node->pending = NULL;
@@ -193,10 +192,11 @@
 }
 
 void
-node_reply_soon(struct node *node)
+node_reply_in(struct node *node, uint64_t delay_ms)
 {
-	if (!uv_is_active((uv_handle_t *)&node->reply_timer))
-		uv_timer_start(&node->reply_timer, on_reply, REPLY_MS, 0);
+	if (!uv_is_active((uv_handle_t *)&node->reply_timer) ||
+	    uv_timer_get_due_in(&node->reply_timer) > delay_ms)
+		uv_timer_start(&node->reply_timer, on_reply, delay_ms, 0);
 }
 
 /* Counts older than this may be under half of the truth. */
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -156,7 +156,7 @@
 void lead_tick(struct lead *, int64_t now_ms);
 void lead_config(struct lead *);
 /* Answers of workers that a member carried; lead may be NULL. */
-void lead_carried(struct lead *, const json_t *message, int64_t now_ms);
+void lead_carried(struct lead *, const json_t *message);
 bool lead_has_store(const struct lead *, int64_t now_ms);
 json_t *lead_pending(struct lead *);
 /* What was learnt of fillers, for a next leader; see press_each(). */
@@ -167,8 +167,8 @@
 void lead_request(struct lead *, enum ask_kind, const char *id,
     const struct stored_job *, uint64_t number, const char *from,
     lead_answered *, void *ctx);
-/* Answers for a leader wait: send them in a moment. */
-void node_reply_soon(struct node *);
+/* Answers for a leader wait: send them after so long. */
+void node_reply_in(struct node *, uint64_t delay_ms);
 /* Stop and free the lead; the record is given up when it may be. */
 void node_step_down(struct node *, const char *reason);
 
--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -25,6 +25,7 @@
 	}
 	h->loop = options->loop;
 	h->keepalive_s = options->keepalive_s;
+	h->idle_s = options->idle_s;
 	TAILQ_INIT(&h->calls);
 	httpc_loop_attach(h);
 	curl_multi_setopt(h->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
--- a/lib/httpc.h
+++ b/lib/httpc.h
@@ -81,6 +81,7 @@
 	uv_loop_t *loop;
 	long max_connections_per_host; /* 0: no limit */
 	long max_idle_connections; /* 0: libcurl's default */
+	long idle_s; /* close connections unused so long; 0: 118 s */
 	long keepalive_s; /* TCP keep-alive; 0: off */
 };
 
--- a/lib/httpc_call.c
+++ b/lib/httpc_call.c
@@ -72,6 +72,8 @@
 	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
 	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+	if (call->client->idle_s > 0)
+		curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, call->client->idle_s);
 	keepalive_s = call->client->keepalive_s;
 	if (keepalive_s > 0) {
 		curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
--- a/lib/httpc_int.h
+++ b/lib/httpc_int.h
@@ -44,6 +44,7 @@
 	uv_timer_t timer;
 	struct call_list calls;
 	long keepalive_s;
+	long idle_s;
 	int in_curl; /* depth of calls into libcurl that may call back */
 	bool closing;
 };
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -195,6 +195,41 @@
 	bool deposed = false;
 };
 
+// A worker's answer reaches the leader after the leader gave up on it, and the
+// worker is silent from then on.  The worker has told of the end and may hold
+// it for noted: once its lease is over, the task that is done must not be
+// started again; the one that was running must.
+TEST_F(Sched, EndsOfALateAnswerCount)
+{
+	struct sched_worker *w = AddWorker("w", 4000);
+	look_finished done;
+	struct look_result late = { 0, nullptr, 0, &done, 1 };
+
+	Add(Graph("a", 2, 1000));
+	Fence();
+	AllStarted();
+	ASSERT_EQ(started.size(), 2u);
+	sched_look_answered(s, w, ANSWER_LOST, nullptr, now);
+	done = End(1, started[0], END_DONE);
+	sched_ends_told(s, w, &late, now);
+	AddWorker("other", 4000);
+	for (int64_t end = now + 9000; now < end; now += 50) {
+		sched_act(s, now);
+		for (auto &id : std::vector<std::string>(looked)) {
+			struct sched_worker *asked =
+			    sched_worker_find(s, id.c_str());
+			if (id == "other")
+				Answer(asked);
+			else
+				sched_look_answered(
+				    s, asked, ANSWER_LOST, nullptr, now);
+		}
+		looked.clear();
+	}
+	ASSERT_EQ(started.size(), 3u);
+	EXPECT_EQ(started[2].task.index, started[1].task.index);
+}
+
 } // namespace
 
 TEST_F(Sched, NothingStartsOnAWorkerBeforeItHasAnswered)
