Move what stands still: fillers are told to work again, tasks go elsewhere

A former leader had paced them down, or an order to pace carried out late did; this leader took them to be at work. Tasks on workers whose tasks stand still were left there too. Ruled out: a shortage of processors (fillers beside them got all they asked). Now: without a percent of progress for 1.2 s and a fifth of its declared time a filler is told to work again, and what still stands is stopped and started on another worker. Tests: Sched.ATaskThatStandsStillGoesElsewhere, AFillerThatStandsStillIsToldToWork, AFillerThatStaysStillIsMoved (all seen failing).

--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -169,7 +169,7 @@
 		return;
 	run->pace_out = false;
 	if (answer != ANSWER_OK)
-		run->pace = -1; /* unknown: to be sent again */
+		run->pace = PACE_UNKNOWN;
 	run->paced_ms = now_ms;
 }
 
--- a/core/sched_health.c
+++ b/core/sched_health.c
@@ -9,6 +9,15 @@
 #define FAILED_ROW 2
 #define PROBE_FIRST_MS 1500
 #define PROBE_MAX_SHIFT 2
+/*
+ * A run without a percent of progress for so long, and for this share of its
+ * declared run time, stands still: its worker hangs, or it is a filler that a
+ * former leader, or an order carried out late, has paced down.  Workers are
+ * up to 8 times slower than declared and list what runs each second, so a
+ * task that works moves by a percent or more in that time.
+ */
+#define STILL_MS 1200
+#define STILL_SHARE 0.2
 /* Weight of a new measurement in the learnt figures. */
 #define WORKER_WEIGHT 0.25
 #define QUEUE_WEIGHT 0.02
@@ -71,10 +80,45 @@
 		worker->probe_ms = now_ms + PROBE_FIRST_MS;
 }
 
+/*
+ * Its worker has listed the run again and again without progress.  A task
+ * that lasts has no progress to show, and members of a gang may wait for the
+ * others.
+ */
+static bool
+stands_still(const struct sched_run *run, int64_t now_ms)
+{
+	const struct graph_step *spec;
+	int64_t still_ms, since_ms;
+
+	spec = run->task->step->spec;
+	if (run->state != RUN_RUNNING || run->stop_wanted || spec->lasts ||
+	    spec->gang || run->pace_out || run->pace == 0)
+		return false;
+	still_ms =
+	    STILL_MS + (int64_t)(STILL_SHARE * (double)spec->estimate_ms);
+	since_ms =
+	    run->paced_ms > run->percent_ms ? run->paced_ms : run->percent_ms;
+	return run->listed_ms - since_ms >= still_ms &&
+	    now_ms - run->listed_ms < STILL_MS;
+}
+
 void
 health_watch(struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
-	(void)s;
-	(void)worker;
-	(void)now_ms;
+	struct sched_run *run;
+
+	TAILQ_FOREACH (run, &worker->runs, by_worker) {
+		if (!stands_still(run, now_ms))
+			continue;
+		s->counts.stills++;
+		if (run->task->step->spec->filler &&
+		    run->paced_ms <= run->percent_ms) {
+			share_work_again(s, run, now_ms);
+			continue;
+		}
+		run->task->avoid = worker->serial;
+		health_failed(worker, task_job(run->task), now_ms);
+		run_want_stop(s, run);
+	}
 }
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -80,6 +80,8 @@
 #define SHARE_DISTURBS 0.5
 /* The share of the fillers' images that disturb no serving task there. */
 double share_welcome(struct sched *, struct sched_worker *, int64_t now_ms);
+/* A filler stands still though it may work: tell its worker again. */
+void share_work_again(struct sched *, struct sched_run *, int64_t now_ms);
 void share_count(struct sched_worker *, int image, int change);
 /* Processors that nobody there is thought to use, in thousandths. */
 int64_t share_unused(const struct sched *, const struct sched_worker *);
--- a/core/sched_share.c
+++ b/core/sched_share.c
@@ -260,6 +260,13 @@
 	s->opt.actions->pace(s, run, percent, s->opt.ctx);
 }
 
+void
+share_work_again(struct sched *s, struct sched_run *run, int64_t now_ms)
+{
+	run->pace = PACE_UNKNOWN;
+	set_pace(s, run, 100, now_ms);
+}
+
 /* The time since when the latest of the serving tasks is over; 0: none. */
 static int64_t
 late_since(struct sched_worker *worker, int64_t now_ms)
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -44,6 +44,8 @@
 	uint32_t pending; /* of the last count of jobs that have not begun */
 };
 
+#define PACE_UNKNOWN (-1) /* an order on it was lost */
+
 enum sched_run_state {
 	RUN_STARTING, /* ordered, not answered */
 	RUN_UNSURE, /* the order's answer is lost: it may start yet */
@@ -73,7 +75,7 @@
 	int percent; /* of its work, as last listed */
 	int64_t percent_ms; /* when percent last rose */
 	int figure; /* tail in ms of a serving task, else cpu in use */
-	int pace; /* share at which it may work, 0 to 100 */
+	int pace; /* share at which it may work, 0 to 100, or PACE_UNKNOWN */
 	bool pace_out;
 	int64_t paced_ms; /* when the pace was last changed */
 	int64_t late_since_ms; /* serving: over its target since; 0: not */
@@ -338,6 +340,7 @@
 	uint64_t lapsed;
 	uint64_t stops;
 	uint64_t paces;
+	uint64_t stills; /* runs found without progress */
 };
 
 /* What the fleet has and does, for logs. */
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -230,6 +230,90 @@
 	EXPECT_EQ(started[2].task.index, started[1].task.index);
 }
 
+// A worker answers its looks, but its tasks make no progress.  The caller
+// waits for a job that never ends; so the task is stopped there and started
+// on another worker.
+TEST_F(Sched, ATaskThatStandsStillGoesElsewhere)
+{
+	struct sched_worker *w = AddWorker("w", 2000);
+	size_t before;
+
+	Add(Graph("a", 1, 1000));
+	Fence();
+	AllStarted();
+	ASSERT_EQ(started.size(), 1u);
+	AddWorker("other", 1000);
+	Answer(sched_worker_find(s, "other"));
+	for (int64_t end = now + 2000; now < end; now += 250) {
+		Answer(
+		    w, { { started[0].task, started[0].attempt, "", 40, 0 } });
+		sched_act(s, now);
+	}
+	ASSERT_EQ(stopped.size(), 1u);
+	EXPECT_LT(now, 10000 + 4000);
+	before = started.size();
+	sched_stop_answered(
+	    s, w, &stopped[0].task, stopped[0].attempt, ANSWER_OK, now, now);
+	Answer(w, {}, { End(1, started[0], END_STOPPED) });
+	sched_act(s, now += 10);
+	ASSERT_EQ(started.size(), before + 1);
+	EXPECT_EQ(started.back().worker, "other");
+}
+
+// A former leader, or an order that was carried out late, has paced a filler
+// down; this leader takes it to be at work.  Its job would never end.  It is
+// told to work again, and only moved if that doesn't help.
+TEST_F(Sched, AFillerThatStandsStillIsToldToWork)
+{
+	struct sched_worker *w = AddWorker("w", 8000);
+	struct graph *filler = Graph("b", 1, 1000);
+	int percent = 10;
+
+	filler->steps[0].filler = true;
+	Add(filler);
+	Fence();
+	AllStarted();
+	ASSERT_EQ(started.size(), 1u);
+	for (int64_t end = now + 3000; now < end; now += 250) {
+		if (!paced.empty())
+			percent += 8;
+		Answer(w,
+		    { { started[0].task, started[0].attempt, "", percent,
+			800 } });
+		sched_act(s, now);
+		if (!paced.empty())
+			sched_pace_answered(s, w, &paced[0].first.task,
+			    paced[0].first.attempt, ANSWER_OK, now);
+	}
+	ASSERT_EQ(paced.size(), 1u);
+	EXPECT_EQ(paced[0].second, 100);
+	EXPECT_TRUE(stopped.empty());
+}
+
+// The same, but the worker hangs: the order to work changes nothing.
+TEST_F(Sched, AFillerThatStaysStillIsMoved)
+{
+	struct sched_worker *w = AddWorker("w", 8000);
+	struct graph *filler = Graph("b", 1, 1000);
+
+	size_t answered = 0;
+
+	filler->steps[0].filler = true;
+	Add(filler);
+	Fence();
+	AllStarted();
+	for (int64_t end = now + 4000; now < end; now += 250) {
+		Answer(
+		    w, { { started[0].task, started[0].attempt, "", 10, 0 } });
+		sched_act(s, now);
+		for (; answered < paced.size(); answered++)
+			sched_pace_answered(s, w, &paced[0].first.task,
+			    paced[0].first.attempt, ANSWER_OK, now);
+	}
+	EXPECT_EQ(paced.size(), 1u);
+	EXPECT_EQ(stopped.size(), 1u);
+}
+
 } // namespace
 
 TEST_F(Sched, NothingStartsOnAWorkerBeforeItHasAnswered)
