--- a/core/sched.c
+++ b/core/sched.c
@@ -72,20 +72,6 @@
 	return queue;
 }
 
-uint32_t
-sched_pending(const struct sched *s, const struct sched_queue *queue)
-{
-	const struct sched_job *job;
-	uint32_t n;
-
-	n = 0;
-	TAILQ_FOREACH (job, &s->open, link) {
-		if (job->queue == queue && !job->begun)
-			n++;
-	}
-	return n;
-}
-
 /* The step is due at that time at the latest. */
 void
 sched_due(struct sched *s, int64_t at_ms)
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -26,7 +26,6 @@
 
 #define SCHED_WORKER_ID_MAX 96
 #define SCHED_LABELS_MAX 8
-#define SCHED_CHECKPOINT_MAX 256
 
 struct sched;
 struct sched_job;
@@ -113,7 +112,6 @@
 	uint32_t number;
 	uint32_t ndone;
 	uint32_t nactive;
-	uint32_t gang_attempt; /* of a gang's current run */
 	bool open; /* what it depends on is done */
 	struct sched_tasks waiting;
 	struct sched_task *tasks; /* NULL before it opens and when done */
@@ -154,7 +152,6 @@
 	uint64_t saved; /* the change that the store has */
 	int64_t submitted_ms;
 	int64_t ended_ms;
-	int64_t objective_ms; /* in time if complete by then */
 	double rank; /* the order in which waiting jobs are placed */
 	uint32_t nactive; /* runs not settled */
 	uint32_t nwaiting; /* tasks of open steps that wait */
@@ -207,7 +204,6 @@
 	char service[GRAPH_NAME_MAX];
 	char address[64];
 	char data_center[GRAPH_NAME_MAX];
-	char rack[GRAPH_NAME_MAX];
 	char labels[SCHED_LABELS_MAX][GRAPH_NAME_MAX]; /* kind and rack */
 	size_t nlabels;
 	uint32_t serial; /* never used for another worker */
@@ -233,7 +229,6 @@
 	struct sched_strays strays; /* of the last look */
 	uint32_t unneeded; /* run there without being needed */
 	bool look_out;
-	bool look_renews; /* the look on its way carries a lease */
 	int64_t look_sent_ms;
 	int64_t look_at_ms; /* the next one */
 	uint32_t misses; /* calls without an answer in a row */
@@ -249,7 +244,6 @@
 	int64_t paced_ms; /* when a pace here was last changed */
 	int64_t late_ms; /* when a serving task was last over its target */
 	int64_t late_since_ms; /* since when one is; 0: none */
-	void *data; /* the caller's */
 };
 RB_HEAD(sched_worker_tree, sched_worker);
 
@@ -334,10 +328,8 @@
 	int64_t taken_ms; /* when the term began */
 	int64_t lease_ms; /* of what runs, renewed by looks */
 	int64_t former_ms; /* a former leader may renew so long after it */
-	int64_t stop_ms; /* a stop takes at most that long */
 	int64_t keep_ms; /* ended jobs are kept so long */
 	int64_t wall_offset_ms; /* to the time since 1970 it gives ours */
-	double remote_factor; /* run time away from its data, times this */
 	int64_t harm_ms; /* a serving task may be late so long */
 	uint64_t seed;
 	const struct sched_actions *actions;
@@ -427,8 +419,6 @@
 /* The state that callers may be shown: an end only once it is saved. */
 enum sched_job_state sched_job_shown(const struct sched_job *);
 const char *sched_job_state_name(enum sched_job_state);
-/* Accepted jobs of the queue of which nothing has started. */
-uint32_t sched_pending(const struct sched *, const struct sched_queue *);
 
 void sched_task_name(const struct sched_task *, struct task_name *);
 
--- a/entry/config.c
+++ b/entry/config.c
@@ -35,7 +35,6 @@
 	node->config_version = config->version;
 	if (node->lead != NULL)
 		lead_config(node->lead);
-	node->opt.on_config(config, node->opt.ctx);
 }
 
 static void
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -119,10 +119,8 @@
 	options.taken_ms = l->opened_ms;
 	options.lease_ms = node->opt.lease_ms;
 	options.former_ms = FORMER_MS;
-	options.stop_ms = node->opt.stop_ms;
 	options.keep_ms = node->opt.keep_ms;
 	options.harm_ms = node->opt.harm_ms;
-	options.remote_factor = node->opt.remote_factor;
 	options.wall_offset_ms = l->opened_ms - clock_wall_ms() + DUE_MARGIN_MS;
 	options.seed = node->incarnation;
 	options.actions = &lead_sched_actions;
--- a/entry/node.h
+++ b/entry/node.h
@@ -22,16 +22,11 @@
 	const char *data_center;
 	double power; /* the strongest member leads first */
 	int64_t lease_ms; /* of what runs on workers */
-	int64_t stop_ms; /* a stop takes at most that long there */
 	int64_t keep_ms; /* ended jobs are known so long */
 	int64_t harm_ms; /* a serving task may be late so long */
-	double remote_factor; /* run time away from the data, times this */
 	struct kv_ops kv;
 	struct worker_ops workers;
 	struct world_ops world;
-	/* A newer configuration is in force here. */
-	void (*on_config)(const struct entry_config *, void *ctx);
-	void *ctx;
 };
 
 enum node_error {
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -241,7 +241,6 @@
 	options.taken_ms = now_ms;
 	options.lease_ms = kLease;
 	options.former_ms = kFormer;
-	options.stop_ms = kStop;
 	options.keep_ms = 1000000;
 	options.harm_ms = 4000;
 	options.seed = 1;
--- a/tests/test_accept.cc
+++ b/tests/test_accept.cc
@@ -46,7 +46,6 @@
 			FailedMs };
 		options.world = { this, "c/", "w/", Config, WorkerEntry,
 			WorkerId };
-		options.on_config = [](const struct entry_config *, void *) {};
 		/* Other programs on the machine may have it. */
 		for (int i = 0; i < 20 && node == nullptr; i++) {
 			options.port++;
