--- a/core/sched_share.c
+++ b/core/sched_share.c
@@ -1,4 +1,5 @@
 #include <math.h>
+#include <string.h>
 
 #include "sched_int.h"
 
@@ -262,16 +263,16 @@
 share_pressure(const struct sched *s, const struct sched_worker *worker,
     int image, double share)
 {
+	const struct press_load never_listed = { 0 };
 	const struct sched_served *served;
-	double load, pressure, highest;
+	double load, unknown, pressure, highest;
 	size_t i;
 
 	highest = 0;
+	unknown = press_load_of(&never_listed);
 	for (i = 0; i < worker->nserved; i++) {
 		served = &worker->served[i];
-		load = served->load > 0 ?
-		    served->load :
-		    press_load_of(&(struct press_load){ 0 });
+		load = served->load > 0 ? served->load : unknown;
 		pressure = (load + RISE) *
 		    (1 + served->strain +
 			share * press_effect(s->press, served->image, image)) /
@@ -333,7 +334,7 @@
 {
 	struct sched_run *run;
 
-	paces->n = 0;
+	memset(paces, 0, sizeof(*paces));
 	TAILQ_FOREACH (run, &worker->runs, by_worker) {
 		if (!is_filler(run) || paces->n == FILLERS_MAX)
 			continue;
@@ -353,33 +354,46 @@
 	    press_effect(s->press, served->image, run->task->step->image);
 }
 
+/* What all of them raise its load by, and which of them by most. */
+static double
+strain_by_all(const struct sched *s, const struct sched_served *served,
+    const struct paces *paces, size_t *most, double *by_most)
+{
+	double part, strain;
+	size_t i;
+
+	strain = 0;
+	*by_most = 0;
+	*most = 0;
+	for (i = 0; i < paces->n; i++) {
+		part = strain_by(s, served, paces, i);
+		strain += part;
+		if (part > *by_most) {
+			*by_most = part;
+			*most = i;
+		}
+	}
+	return strain;
+}
+
 /* Slow down those that press most until the tasks stay below their target. */
 static void
 fit_served(const struct sched *s, const struct sched_served *served,
     struct paces *paces, double reserve)
 {
-	double allowed, part, strain, worst;
-	size_t i, most;
+	double allowed, by_most, strain;
+	size_t most;
 	int lower;
 
 	if (served->load <= 0)
 		return;
 	allowed = limit_of(s, served) / (served->load + reserve) - 1;
 	for (;;) {
-		strain = worst = 0;
-		most = 0;
-		for (i = 0; i < paces->n; i++) {
-			part = strain_by(s, served, paces, i);
-			strain += part;
-			if (part > worst) {
-				worst = part;
-				most = i;
-			}
-		}
-		if (strain <= allowed || worst <= 0)
+		strain = strain_by_all(s, served, paces, &most, &by_most);
+		if (strain <= allowed || by_most <= 0)
 			return;
 		lower = paces->pace[most] -
-		    (int)ceil((strain - allowed) / worst * paces->pace[most]);
+		    (int)ceil((strain - allowed) / by_most * paces->pace[most]);
 		if (lower < 0)
 			lower = 0;
 		paces->pace[most] = lower / PACE_STEP * PACE_STEP;
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -130,8 +130,7 @@
 
 /* lead_calls.c */
 extern const struct sched_actions lead_sched_actions;
-void lead_late_ends(
-    const char *worker, const struct look_result *, void *ctx);
+void lead_late_ends(const char *id, const struct look_result *, void *ctx);
 
 /* lead_fleet.c */
 void fleet_worker(struct lead *, const char *key, const char *value, size_t len,
