--- a/core/sched_share.c
+++ b/core/sched_share.c
@@ -29,7 +29,8 @@
  * 16 plays of recorded days of one site, reserves of 0.08, 0.03 and 0 served
  * batch jobs for 0.23, 0.62 and 0.76 of their worth and lasting ones for 0.90,
  * 0.83 and 0.78, before late tasks kept new fillers away; -0.03 and -0.06 with
- * that for 0.82 and 0.86, and 0.77 and 0.72.  Paces follow within half a second.
+ * that for 0.82 and 0.86, and 0.77 and 0.72.  Paces follow within half a
+ * second.
  */
 #define RISE (-0.03)
 /* With each second of lateness more is kept in reserve. */
