Number carried orders apart in each term

Found by reading: an entry that led twice in one life numbered its orders from 1 each time, so a late answer to an order of its former term was taken for one to another order, of another worker or kind. Members keep answers for 5 s while a link is down, which makes that likelier. Not seen in a play; no test of ours plays the messages between leader and members (PROOFS.md).

--- a/entry/carry.c
+++ b/entry/carry.c
@@ -20,6 +20,13 @@
 /* A member that greeted longer ago than this carries nothing new. */
 #define FRESH_MS 1200
 
+/*
+ * Orders are numbered apart in each term: an entry that leads again would
+ * else take a late answer to an order of its former term for one to a new
+ * order, of another worker or kind.
+ */
+#define TERM_SHIFT 32
+
 /* An order on its way. */
 struct carried {
 	RB_ENTRY(carried) by_number;
@@ -63,6 +70,7 @@
 	c->node = node;
 	c->late = late;
 	c->late_ctx = late_ctx;
+	c->next = node->elect.leader.term << TERM_SHIFT;
 	RB_INIT(&c->orders);
 	routes_init(&c->routes);
 	return c;
