--- a/entry/carrier.c
+++ b/entry/carrier.c
@@ -166,16 +166,7 @@
 read_order(const json_t *order, struct worker_order *to, struct task_name *task,
     const struct sched_worker *worker)
 {
-	const json_t *row;
-	const char *job;
-
-	row = json_object_get(order, "task");
-	memset(task, 0, sizeof(*task));
-	job = json_string_value(json_array_get(row, 0));
-	strlcpy(task->job, job != NULL ? job : "", sizeof(task->job));
-	task->occurrence = (uint32_t)json_integer_value(json_array_get(row, 1));
-	task->step = (uint32_t)json_integer_value(json_array_get(row, 2));
-	task->index = (uint32_t)json_integer_value(json_array_get(row, 3));
+	carry_read_task(json_object_get(order, "task"), 0, task);
 	to->worker = worker;
 	to->task = task;
 	to->attempt =
--- a/entry/carry.c
+++ b/entry/carry.c
@@ -330,8 +330,8 @@
 	struct look_finished *finished;
 };
 
-static void
-read_task(const json_t *row, size_t at, struct task_name *task)
+void
+carry_read_task(const json_t *row, size_t at, struct task_name *task)
 {
 	const char *job;
 
@@ -361,7 +361,7 @@
 
 	json_array_foreach(json_object_get(answer, "running"), i, row)
 	{
-		read_task(row, 0, &running[i].task);
+		carry_read_task(row, 0, &running[i].task);
 		running[i].attempt =
 		    (uint32_t)json_integer_value(json_array_get(row, 4));
 		running[i].checkpoint = text_at(row, 5);
@@ -374,7 +374,7 @@
 	{
 		finished[i].number =
 		    (uint64_t)json_integer_value(json_array_get(row, 0));
-		read_task(row, 1, &finished[i].task);
+		carry_read_task(row, 1, &finished[i].task);
 		finished[i].attempt =
 		    (uint32_t)json_integer_value(json_array_get(row, 5));
 		finished[i].how =
