Log when a silent worker's lease has lapsed and for how many workers a new leader waits

The logs of a takeover couldn't tell whether waiting tasks waited for silent workers or for room: worker_lapsed says what was held up and for how long, load has the workers that a new leader hasn't settled.

--- a/core/sched.c
+++ b/core/sched.c
@@ -187,6 +187,8 @@
 	memset(load, 0, sizeof(*load));
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
 		load->workers++;
+		if (worker->recorded && !sched_worker_settled(worker))
+			load->unsettled++;
 		if (worker_usable(worker, now_ms))
 			load->usable++;
 		load_of_worker(worker, load);
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -197,19 +197,23 @@
 }
 
 /* Nothing runs there any more: its tasks may run elsewhere. */
-static void
+static size_t
 drop_runs(struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
 	struct sched_task *task;
 	struct sched_run *run;
+	size_t n;
 
+	n = 0;
 	while ((run = TAILQ_FIRST(&worker->runs)) != NULL) {
 		task = run->task;
 		s->counts.lapsed++;
+		n++;
 		run_settle(s, run);
 		run_requeue(s, task, now_ms, now_ms);
 	}
 	sched_due(s, 0);
+	return n;
 }
 
 /* That life of the worker is over, and so is all that ran there. */
@@ -321,7 +325,8 @@
 	worker->lapsed = true;
 	worker->unneeded = 0;
 	worker_drop_strays(worker);
-	drop_runs(s, worker, now_ms);
+	s->opt.actions->lapsed(
+	    s, worker, drop_runs(s, worker, now_ms), s->opt.ctx);
 }
 
 static bool
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -313,6 +313,9 @@
 	 * say that it has ended or that there is none.
 	 */
 	void (*unknown)(struct sched *, const char *job, void *ctx);
+	/* A silent worker's lease has lapsed: nruns tasks may go elsewhere. */
+	void (*lapsed)(
+	    struct sched *, struct sched_worker *, size_t nruns, void *ctx);
 	/* Nothing runs there and it left the list: the store may forget it. */
 	void (*forget_worker)(struct sched *, struct sched_worker *, void *ctx);
 	/* Jobs wait to be saved: see sched_next_dirty(). */
@@ -350,6 +353,7 @@
 /* What the fleet has and does, for logs. */
 struct sched_load {
 	uint32_t usable; /* workers that may be given work */
+	uint32_t unsettled; /* a former leader's tasks may run there unknown */
 	uint32_t workers;
 	int64_t cpu; /* capacity of the usable ones, in thousandths */
 	int64_t claimed; /* of it by tasks that aren't fillers */
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -242,10 +242,11 @@
 	l->load_ms = now_ms;
 	sched_measure(l->sched, &load, now_ms);
 	log_info("load",
-	    "workers=%u usable=%u cpu=%lld claimed=%lld fillers=%lld "
+	    "workers=%u usable=%u unsettled=%u cpu=%lld claimed=%lld "
+	    "fillers=%lld "
 	    "running=%u waiting=%u waiting_fillers=%u serving=%u late=%u "
 	    "paced=%u serving_use=%.2f starts=%llu looks=%llu stills=%llu",
-	    load.workers, load.usable, (long long)load.cpu,
+	    load.workers, load.usable, load.unsettled, (long long)load.cpu,
 	    (long long)load.claimed, (long long)load.fillers, load.running,
 	    load.waiting, load.waiting_fillers, load.serving, load.late,
 	    load.paced, l->sched->serving_use,
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -173,6 +173,14 @@
 	l->workers.pace(l->workers.self, &order, percent, on_pace, call);
 }
 
+/* The age of its last answer, in milliseconds; -1: none in this term. */
+static long long
+silent_for(const struct sched_worker *worker, int64_t now_ms)
+{
+	return worker->heard_ms != 0 ? (long long)(now_ms - worker->heard_ms) :
+				       -1;
+}
+
 /* One line at the first of some looks without an answer, then ever fewer. */
 static void
 log_silence(const struct sched_worker *worker, enum worker_answer answer,
@@ -187,8 +195,7 @@
 	if (misses >= SILENT_MISSES && (misses & (misses - 1)) == 0)
 		log_warn("worker_silent",
 		    "worker=%s missed=%u answer=%d silent_ms=%lld", worker->id,
-		    misses, (int)answer,
-		    (long long)(now_ms - worker->heard_ms));
+		    misses, (int)answer, silent_for(worker, now_ms));
 }
 
 static void
@@ -238,6 +245,19 @@
 	    l->workers.self, &order, on_look, call_new(l, worker, NULL, 0));
 }
 
+static void
+lapsed(struct sched *s, struct sched_worker *worker, size_t nruns, void *ctx)
+{
+	int64_t now_ms;
+
+	(void)ctx;
+	now_ms = clock_now_ms();
+	log_info("worker_lapsed",
+	    "worker=%s tasks=%zu silent_ms=%lld listed=%d term_ms=%lld",
+	    worker->id, nruns, silent_for(worker, now_ms), (int)worker->listed,
+	    (long long)(now_ms - s->opt.taken_ms));
+}
+
 static void
 deposed(struct sched *s, void *ctx)
 {
@@ -256,6 +276,7 @@
 	look,
 	record_worker,
 	lead_unknown,
+	lapsed,
 	record_forget,
 	save_actions,
 	save_forget,
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -54,6 +54,11 @@
 	Of(ctx)->world->Unknown(Of(ctx), job);
 }
 
+void
+OnLapsed(struct sched *, struct sched_worker *, size_t, void *)
+{
+}
+
 void
 OnForgetWorker(struct sched *, struct sched_worker *, void *)
 {
@@ -77,7 +82,8 @@
 }
 
 const struct sched_actions kActions = { OnStart, OnStop, OnPace, OnLook,
-	OnRecord, OnUnknown, OnForgetWorker, OnSave, OnForget, OnDeposed };
+	OnRecord, OnUnknown, OnLapsed, OnForgetWorker, OnSave, OnForget,
+	OnDeposed };
 
 } // namespace
 
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -24,7 +24,7 @@
 	SetUp() override
 	{
 		actions = { OnStart, OnStop, OnPace, OnLook, OnRecord,
-			OnUnknown, OnForgetWorker, OnSave, OnForget,
+			OnUnknown, OnLapsed, OnForgetWorker, OnSave, OnForget,
 			OnDeposed };
 		memset(&options, 0, sizeof(options));
 		options.term = 1;
@@ -187,6 +187,10 @@
 		Self(ctx)->unknown.push_back(job);
 	}
 	static void
+	OnLapsed(struct sched *, struct sched_worker *, size_t, void *)
+	{
+	}
+	static void
 	OnForgetWorker(struct sched *, struct sched_worker *, void *)
 	{
 	}
--- a/tests/test_sched_share.cc
+++ b/tests/test_sched_share.cc
@@ -51,6 +51,8 @@
 	{
 		actions = { OnStart, OnStop, OnPace, OnLook, OnRecord,
 			[](struct sched *, const char *, void *) {},
+			[](struct sched *, struct sched_worker *, size_t,
+			    void *) {},
 			[](struct sched *, struct sched_worker *, void *) {},
 			[](struct sched *, void *) {},
 			[](struct sched *, const char *, void *) {},
