--- a/core/elect.c
+++ b/core/elect.c
@@ -78,13 +78,17 @@
 	}
 }
 
+/* The leader that we know has said so itself, or was our own former life. */
+static bool
+is_over(const struct elect *e)
+{
+	return e->resigned || e->gone || strcmp(e->leader.id, e->opt.self) == 0;
+}
+
 static bool
 may_take(const struct elect *e, int64_t now_ms)
 {
-	if (e->leader.id[0] == '\0' || e->resigned || e->gone)
-		return true;
-	/* Our former life led; it is over. */
-	if (strcmp(e->leader.id, e->opt.self) == 0)
+	if (e->leader.id[0] == '\0' || is_over(e))
 		return true;
 	if (e->members > 0 && 2 * e->grants >= e->members)
 		return true;
@@ -245,6 +249,7 @@
 	if (e->role != ELECT_TAKING)
 		return;
 	if (result == TAKE_DONE) {
+		e->former_over = is_over(e);
 		strlcpy(e->leader.id, e->opt.self, sizeof(e->leader.id));
 		strlcpy(e->leader.address, e->opt.address,
 		    sizeof(e->leader.address));
--- a/core/elect.h
+++ b/core/elect.h
@@ -80,6 +80,7 @@
 	int64_t pulse_revision;
 	int64_t pulse_ms; /* when that revision was first seen */
 	int64_t taking_ms;
+	bool former_over; /* whom we replaced surely led no more */
 };
 
 void elect_init(struct elect *, const struct elect_options *, int64_t now_ms);
--- a/core/sched.c
+++ b/core/sched.c
@@ -29,6 +29,7 @@
 		return NULL;
 	}
 	s->inherited_silent = true;
+	s->former_silent = true;
 	return s;
 }
 
@@ -93,20 +94,30 @@
 /*
  * After a takeover, tasks that no worker lists may still run on one that
  * hasn't answered yet.  They wait until each worker has answered or is over.
+ * Where the record has the lease expire, the last leader started nothing any
+ * more, so jobs that came at its end don't wait for that worker.
  */
 static void
 check_inherited(struct sched *s)
 {
 	struct sched_worker *worker;
+	bool inherited, former;
 
 	if (!s->inherited_silent)
 		return;
+	inherited = false;
+	former = false;
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
-		if (worker->recorded && !sched_worker_settled(worker))
-			return;
+		if (!worker->inherited || sched_worker_settled(worker))
+			continue;
+		inherited = true;
+		if (worker->expires_ms == 0)
+			former = true;
 	}
-	s->inherited_silent = false;
-	s->place_wanted = true;
+	if (s->inherited_silent != inherited || s->former_silent != former)
+		s->place_wanted = true;
+	s->inherited_silent = inherited;
+	s->former_silent = former;
 }
 
 void
@@ -187,7 +198,7 @@
 	memset(load, 0, sizeof(*load));
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
 		load->workers++;
-		if (worker->recorded && !sched_worker_settled(worker))
+		if (worker->inherited && !sched_worker_settled(worker))
 			load->unsettled++;
 		if (worker_usable(worker, now_ms))
 			load->usable++;
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -61,6 +61,7 @@
 	job->queue = queue;
 	job->state = JOB_QUEUED;
 	job->inherited = inherited;
+	job->early = !inherited && now_ms < s->opt.taken_ms + s->opt.former_ms;
 	job->submitted_ms = submitted_ms;
 	job->change = job->saved = 1;
 	TAILQ_INSERT_TAIL(&s->open, job, link);
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -10,11 +10,6 @@
 #define START_LIFE_MS 2500
 /* A filler may begin where at least this share of its processors is free. */
 #define FILLER_SHARE 0.9
-/*
- * A replaced leader hears of it from the next one's first beats, or from the
- * store; after so long it has started its last task.
- */
-#define FORMER_STARTS_MS 700
 /* Gains and losses of serving tasks put together, in processors. */
 #define SAME_IMAGE 4
 #define OTHER_IMAGE 8
@@ -232,16 +227,18 @@
 
 /*
  * The task may run on a worker not heard of yet: a former leader started it.
- * For a job that came after the takeover that can be only while the former
- * leader doesn't know yet that it was replaced.
+ * Of a job that came after the takeover the last one may have been told while
+ * it didn't know yet that it was replaced.
  */
 static bool
-may_run_unknown(struct placing *p, const struct sched_task *task)
+may_run_unknown(const struct placing *p, const struct sched_task *task)
 {
-	if (!p->s->inherited_silent)
-		return false;
-	return task_job(task)->inherited ||
-	    p->now_ms < p->s->opt.taken_ms + FORMER_STARTS_MS;
+	const struct sched_job *job;
+
+	job = task_job(task);
+	if (job->inherited)
+		return p->s->inherited_silent;
+	return job->early && p->s->former_silent;
 }
 
 /* false: there is no room for tasks of this step now. */
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -20,6 +20,11 @@
 #define SLOW_CLOCK 1.03
 /* Reserve for the way of an order and for timers, in milliseconds. */
 #define LAPSE_MARGIN_MS 150
+/*
+ * After so many calls in a row without an answer the lease is left to expire,
+ * and the record says so.  One lost answer alone is no reason for a write.
+ */
+#define EXPIRE_MISSES 2
 /* A lost worker without tasks is forgotten after so long. */
 #define FORGET_MS 10000
 
@@ -89,6 +94,16 @@
 	free(worker);
 }
 
+static void
+want_record(
+    struct sched *s, struct sched_worker *worker, enum worker_record record)
+{
+	if (worker->record_wanted == record)
+		return;
+	worker->record_wanted = record;
+	s->opt.actions->record(s, worker, s->opt.ctx);
+}
+
 void
 sched_worker_listed(struct sched *s, struct sched_worker *worker,
     const struct resources *capacity, bool draining, int64_t leaves_ms,
@@ -101,8 +116,8 @@
 	}
 	worker->draining = draining;
 	worker->leaves_ms = leaves_ms;
-	if (!worker->recorded)
-		s->opt.actions->record(s, worker, s->opt.ctx);
+	if (worker->record_wanted == RECORD_NONE)
+		want_record(s, worker, RECORD_IN_USE);
 	sched_due(s, now_ms);
 }
 
@@ -115,9 +130,20 @@
 }
 
 void
-sched_worker_recorded(struct sched_worker *worker)
+sched_worker_recorded(struct sched_worker *worker, enum worker_record record)
 {
-	worker->recorded = true;
+	worker->record = record;
+}
+
+void
+sched_worker_inherit(struct sched_worker *worker, enum worker_record record,
+    int64_t left_ms, int64_t now_ms)
+{
+	worker->inherited = true;
+	worker->record = record;
+	worker->record_wanted = record;
+	if (record == RECORD_EXPIRING)
+		worker->expires_ms = now_ms + left_ms;
 }
 
 bool
@@ -143,11 +169,16 @@
  * can't renew any more; until then it may have, by a whole lease.
  */
 static void
-first_heard(
-    const struct sched *s, struct sched_worker *worker, int64_t clock_ms)
+first_heard(const struct sched *s, struct sched_worker *worker,
+    int64_t clock_ms, int64_t now_ms)
 {
-	if (worker->granted_ms < clock_ms + s->opt.lease_ms)
-		worker->granted_ms = clock_ms + s->opt.lease_ms;
+	int64_t left_ms;
+
+	left_ms = s->opt.lease_ms;
+	if (worker->expires_ms != 0)
+		left_ms = worker->expires_ms - now_ms;
+	if (worker->granted_ms < clock_ms + left_ms)
+		worker->granted_ms = clock_ms + left_ms;
 }
 
 void
@@ -155,20 +186,25 @@
     int64_t clock_ms, int64_t now_ms)
 {
 	if (worker->heard_ms == 0)
-		first_heard(s, worker, clock_ms);
+		first_heard(s, worker, clock_ms, now_ms);
 	worker->misses = 0;
 	worker->lapsed = false;
-	/* Answers may overtake each other; its clock doesn't go back. */
+	/* An answer that others have overtaken tells an earlier time. */
 	if (worker->heard_ms != 0 && clock_ms < worker_clock(worker, now_ms))
 		return;
 	worker->heard_ms = now_ms;
 	worker->clock_ms = clock_ms;
 }
 
+/*
+ * No more than it surely is: with more, a lease granted by it would outlast
+ * what a next leader waits for.
+ */
 int64_t
 worker_clock(const struct sched_worker *worker, int64_t now_ms)
 {
-	return worker->clock_ms + (now_ms - worker->heard_ms);
+	return worker->clock_ms +
+	    (int64_t)((double)(now_ms - worker->heard_ms) / SLOW_CLOCK);
 }
 
 int64_t
@@ -184,18 +220,44 @@
 }
 
 /*
- * When all that runs there has surely lapsed.  For one that hasn't answered
- * this leader, a former leader may have renewed for former_ms into our term.
+ * When all that runs there has surely lapsed.  One that hasn't answered this
+ * leader may have been renewed by a former one, for former_ms into our term;
+ * or the record says when it lapses.  Without the latter the wait would begin
+ * anew with each leader, and what ran there would stay away as long as leaders
+ * follow each other within a lease.  The word of the record holds, as nobody
+ * renews while it says so, and it is changed on condition of the term.
  */
 static int64_t
 worker_lapses(const struct sched *s, const struct sched_worker *worker)
 {
 	if (worker->heard_ms != 0)
 		return worker_passes(worker, worker->granted_ms);
+	if (worker->expires_ms != 0)
+		return worker->expires_ms;
 	return s->opt.taken_ms + s->opt.former_ms +
 	    (int64_t)((double)s->opt.lease_ms * SLOW_CLOCK) + LAPSE_MARGIN_MS;
 }
 
+/* It has told this leader all that runs there, and that is nothing now. */
+static bool
+is_empty(const struct sched_worker *worker)
+{
+	return worker->fenced && worker->unneeded == 0 &&
+	    TAILQ_EMPTY(&worker->runs) && SLIST_EMPTY(&worker->strays);
+}
+
+int64_t
+sched_worker_left_ms(
+    const struct sched *s, const struct sched_worker *worker, int64_t now_ms)
+{
+	int64_t left_ms;
+
+	if (worker->dead || worker->lapsed || is_empty(worker))
+		return 0;
+	left_ms = worker_lapses(s, worker) - now_ms;
+	return left_ms > 0 ? left_ms : 0;
+}
+
 /* Nothing runs there any more: its tasks may run elsewhere. */
 static size_t
 drop_runs(struct sched *s, struct sched_worker *worker, int64_t now_ms)
@@ -225,12 +287,20 @@
 	drop_runs(s, worker, now_ms);
 }
 
+/* Its lease may be renewed, by a look or by a start. */
+static bool
+may_renew(const struct sched_worker *worker)
+{
+	return worker->record == RECORD_IN_USE &&
+	    worker->record_wanted == RECORD_IN_USE && worker->misses == 0;
+}
+
 bool
 worker_usable(const struct sched_worker *worker, int64_t now_ms)
 {
 	if (!worker->listed || worker->draining || worker->dead ||
-	    !worker->recorded || !worker->fenced || worker->misses > 0 ||
-	    worker->unneeded > 0 || !SLIST_EMPTY(&worker->strays))
+	    !may_renew(worker) || !worker->fenced || worker->unneeded > 0 ||
+	    !SLIST_EMPTY(&worker->strays))
 		return false;
 	return worker->probe_ms <= now_ms;
 }
@@ -251,8 +321,9 @@
 }
 
 /*
- * A lease is renewed only while the worker answers.  Repeats to a silent one
- * carry none, so that the time of its lapse stays where it is.
+ * A lease is renewed only while the worker answers and the record has it in
+ * use.  Repeats to a silent one carry none, so that the time of its lapse
+ * stays where it is.
  */
 static void
 send_look(struct sched *s, struct sched_worker *worker, int64_t wait_ms,
@@ -261,7 +332,7 @@
 	int64_t deadline_ms;
 
 	deadline_ms = 0;
-	if (worker->heard_ms != 0 && worker->misses == 0 && !worker->dead &&
+	if (worker->heard_ms != 0 && may_renew(worker) && !worker->dead &&
 	    !s->frozen) {
 		deadline_ms = worker_clock(worker, now_ms) + s->opt.lease_ms;
 		if (deadline_ms > worker->granted_ms)
@@ -329,6 +400,18 @@
 	    s, worker, drop_runs(s, worker, now_ms), s->opt.ctx);
 }
 
+/* What a next leader needs to know of it. */
+static void
+update_record(struct sched *s, struct sched_worker *worker)
+{
+	if (worker->record_wanted == RECORD_NONE)
+		return;
+	if (worker->dead || worker->misses >= EXPIRE_MISSES)
+		want_record(s, worker, RECORD_EXPIRING);
+	else if (worker->heard_ms != 0 && worker->misses == 0)
+		want_record(s, worker, RECORD_IN_USE);
+}
+
 static bool
 may_be_forgotten(const struct sched_worker *worker, int64_t now_ms)
 {
@@ -336,6 +419,7 @@
 	    !STAILQ_EMPTY(&worker->ends))
 		return false;
 	return worker->dead || worker->lapsed ||
+	    (worker->misses >= EXPIRE_MISSES && is_empty(worker)) ||
 	    (worker->heard_ms != 0 && now_ms - worker->heard_ms > FORGET_MS);
 }
 
@@ -344,6 +428,7 @@
 {
 	worker_acknowledge(worker);
 	check_lapse(s, worker, now_ms);
+	update_record(s, worker);
 	if (may_be_forgotten(worker, now_ms)) {
 		s->opt.actions->forget_worker(s, worker, s->opt.ctx);
 		worker_free(s, worker);
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -145,6 +145,7 @@
 	enum sched_job_state state;
 	bool in_ended;
 	bool inherited; /* accepted before this leader's term */
+	bool early; /* a former leader may have been told of it, too */
 	bool absent; /* there is none: only to stop what runs of it */
 	bool begun; /* a task has started */
 	bool dirty; /* in the list of jobs to be saved */
@@ -198,6 +199,14 @@
 	double lately; /* while the last listed tails were measured */
 };
 
+/* What the store's record says of a worker, for a next leader. */
+enum worker_record {
+	RECORD_NONE, /* not named: no leader has used it */
+	RECORD_IN_USE, /* its lease may be renewed at any time */
+	RECORD_EXPIRING, /* no leader renews its lease any more */
+	RECORD_UNSURE /* a change is on its way */
+};
+
 struct sched_worker {
 	RB_ENTRY(sched_worker) by_id;
 	char id[SCHED_WORKER_ID_MAX]; /* one life of a worker */
@@ -220,7 +229,10 @@
 	struct sched_ends ends;
 	bool listed;
 	bool in_list; /* the caller's, while it reads the whole list */
-	bool recorded; /* the store names it: a next leader will ask it */
+	enum worker_record record; /* as the store surely has it */
+	enum worker_record record_wanted;
+	bool inherited; /* an earlier leader may have used it */
+	int64_t expires_ms; /* by an earlier leader's word; 0: none */
 	bool draining;
 	int64_t leaves_ms; /* at the earliest, while it drains; 0: unknown */
 	bool fenced; /* has answered a look of this term */
@@ -306,7 +318,10 @@
 	 */
 	void (*look)(struct sched *, struct sched_worker *,
 	    int64_t deadline_worker_ms, int64_t wait_ms, void *ctx);
-	/* Name the worker in the store, then call sched_worker_recorded(). */
+	/*
+	 * worker->record_wanted changed: bring the store's record to it, and
+	 * tell by sched_worker_recorded().
+	 */
 	void (*record)(struct sched *, struct sched_worker *, void *ctx);
 	/*
 	 * A worker names a job that isn't known: ask the store, then add it, or
@@ -330,7 +345,7 @@
 	uint64_t term; /* of this leader, the fencing token */
 	int64_t taken_ms; /* when the term began */
 	int64_t lease_ms; /* of what runs, renewed by looks */
-	int64_t former_ms; /* a former leader may renew so long after it */
+	int64_t former_ms; /* a former leader may act so long into it */
 	int64_t keep_ms; /* ended jobs are kept so long */
 	int64_t wall_offset_ms; /* to the time since 1970 it gives ours */
 	int64_t harm_ms; /* a serving task may be late so long */
@@ -383,6 +398,7 @@
 	int64_t place_gap_ms; /* not again before in any case */
 	bool deposed;
 	bool inherited_silent; /* a worker of a former term is silent */
+	bool former_silent; /* one that the last leader may have used */
 	int64_t next_ms; /* when sched_act() is due at the latest */
 	uint64_t random;
 	struct press *press;
@@ -440,7 +456,17 @@
     const struct resources *, bool draining, int64_t leaves_ms, int64_t now_ms);
 void sched_worker_unlisted(
     struct sched *, struct sched_worker *, int64_t now_ms);
-void sched_worker_recorded(struct sched_worker *);
+/* What the store has now; RECORD_UNSURE while a change is on its way. */
+void sched_worker_recorded(struct sched_worker *, enum worker_record);
+/*
+ * An earlier leader's record names the worker.  With RECORD_EXPIRING all that
+ * runs there has lapsed after left_ms.
+ */
+void sched_worker_inherit(
+    struct sched_worker *, enum worker_record, int64_t left_ms, int64_t now_ms);
+/* So long until all that runs there has surely lapsed; 0: it has. */
+int64_t sched_worker_left_ms(
+    const struct sched *, const struct sched_worker *, int64_t now_ms);
 /* Nothing of a former term can run there unknown to us. */
 bool sched_worker_settled(const struct sched_worker *);
 bool sched_worker_has_label(const struct sched_worker *, const char *);
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -12,7 +12,7 @@
 #define STORE_LOST_MS 1200
 /* A repeated job begins a little late rather than early: clocks differ. */
 #define DUE_MARGIN_MS 100
-/* A former leader notices within so long that it was replaced. */
+/* A former leader that hasn't resigned may act so long into our term. */
 #define FORMER_MS 2000
 /*
  * From so many workers on, members make the calls.  A leader with an eighth
@@ -25,10 +25,13 @@
 #define LOAD_MS 1000
 /* A member that greeted so recently follows us; greetings come each 0.5 s. */
 #define FOLLOWER_MS 1300
+/* Ticks come each 20 ms; after such a pause we were stopped meanwhile. */
+#define PAUSE_MS 500
 /* A step follows the events of one turn of the loop by so long. */
 #define STEP_MS 1
 
 static void on_timer(uv_timer_t *);
+static void check_frozen(struct lead *, int64_t);
 
 void
 lead_hold(struct lead *l)
@@ -111,14 +114,14 @@
 	l->node = node;
 	l->opened_ms = clock_now_ms();
 	l->confirmed_ms = l->opened_ms;
+	l->tick_ms = l->opened_ms;
 	TAILQ_INIT(&l->progresses);
 	TAILQ_INIT(&l->waiters);
-	TAILQ_INIT(&l->recordeds);
 	memset(&options, 0, sizeof(options));
 	options.term = node->elect.leader.term;
 	options.taken_ms = l->opened_ms;
 	options.lease_ms = node->opt.lease_ms;
-	options.former_ms = FORMER_MS;
+	options.former_ms = node->elect.former_over ? 0 : FORMER_MS;
 	options.keep_ms = node->opt.keep_ms;
 	options.harm_ms = node->opt.harm_ms;
 	options.wall_offset_ms = l->opened_ms - clock_wall_ms() + DUE_MARGIN_MS;
@@ -153,7 +156,6 @@
 lead_close(struct lead *l)
 {
 	struct sched_job *job;
-	struct recorded *recorded;
 	struct unknown_job *unknown;
 	struct waiter *waiter;
 
@@ -166,10 +168,6 @@
 		TAILQ_REMOVE(&l->waiters, waiter, link);
 		free(waiter); /* asked again of the next leader */
 	}
-	while ((recorded = TAILQ_FIRST(&l->recordeds)) != NULL) {
-		TAILQ_REMOVE(&l->recordeds, recorded, link);
-		free(recorded);
-	}
 	while ((unknown = LIST_FIRST(&l->unknowns)) != NULL) {
 		LIST_REMOVE(unknown, link);
 		free(unknown);
@@ -205,6 +203,7 @@
 	if (l->closed || !l->ready)
 		return;
 	now_ms = clock_now_ms();
+	check_frozen(l, now_ms);
 	sched_act(l->sched, now_ms);
 	carry_flush(l->carry);
 	if (l->deposed)
@@ -216,22 +215,43 @@
 	uv_timer_start(&l->timer, on_timer, (uint64_t)wait_ms, 0);
 }
 
-/*
- * Without the store and without members that follow us, another entry may
- * have taken over.  We go on for less than FORMER_MS: the next leader waits
- * that much longer for workers that it can't reach.
- */
+/* Greetings that were under way while we were stopped tell nothing. */
+static bool
+just_woke(const struct lead *l, int64_t now_ms)
+{
+	return now_ms - l->woke_ms < FOLLOWER_MS;
+}
+
 static bool
-has_followers(const struct lead *l, int64_t now_ms)
+all_follow(const struct lead *l, int64_t now_ms)
 {
 	const struct member *member;
 
+	if (TAILQ_EMPTY(&l->node->members) || just_woke(l, now_ms))
+		return false;
 	TAILQ_FOREACH (member, &l->node->members, link) {
-		if (now_ms - member->heard_ms < FOLLOWER_MS &&
-		    member->term == l->sched->opt.term)
-			return true;
+		if (now_ms - member->heard_ms >= FOLLOWER_MS ||
+		    member->term != l->sched->opt.term)
+			return false;
 	}
-	return false;
+	return true;
+}
+
+/*
+ * Without the store another entry may lead by now, unless all follow us: one
+ * that we can't hear may have the store, and workers that the next leader
+ * can't reach would run on under our renewals while it takes their leases for
+ * over.  So we renew and start nothing after FOLLOWER_MS, well before
+ * FORMER_MS.
+ */
+static void
+check_frozen(struct lead *l, int64_t now_ms)
+{
+	if (now_ms - l->tick_ms >= PAUSE_MS)
+		l->woke_ms = now_ms;
+	l->tick_ms = now_ms;
+	l->sched->store_away = !lead_has_store(l, now_ms);
+	l->sched->frozen = l->sched->store_away && !all_follow(l, now_ms);
 }
 
 static void
@@ -274,8 +294,7 @@
 		node_step_down(l->node, "worker_refused_term");
 		return;
 	}
-	l->sched->store_away = !lead_has_store(l, now_ms);
-	l->sched->frozen = l->sched->store_away && !has_followers(l, now_ms);
+	check_frozen(l, now_ms);
 	carry_use(l->carry, count_workers(l) >= CARRY_WORKERS);
 	carry_tick(l->carry, now_ms);
 	save_tick(l, now_ms);
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -34,15 +34,6 @@
 };
 TAILQ_HEAD(waiters, waiter);
 
-/* A worker named in the store's record. */
-struct recorded {
-	TAILQ_ENTRY(recorded) link;
-	char id[SCHED_WORKER_ID_MAX];
-	char address[64];
-	bool stored;
-};
-TAILQ_HEAD(recordeds, recorded);
-
 struct unknown_job {
 	LIST_ENTRY(unknown_job) link;
 	char id[GRAPH_ID_MAX];
@@ -76,12 +67,15 @@
 	int64_t pulse_ms; /* last written, or tried */
 	bool pulse_out;
 	int64_t confirmed_ms; /* the store last said that we lead */
+	int64_t tick_ms; /* we last ran */
+	int64_t woke_ms; /* after a pause; 0: never */
 	struct waiters waiters;
 	/* the record of workers */
-	struct recordeds recordeds;
 	int64_t record_revision;
 	bool record_out;
 	bool record_dirty;
+	bool record_refresh; /* a lease named in it runs out */
+	int64_t record_ms; /* last sent */
 	int64_t record_retry_ms;
 	/* watches */
 	int64_t jobs_revision;
@@ -123,10 +117,16 @@
 void save_actions(struct sched *, void *ctx);
 void save_forget(struct sched *, const char *job, void *ctx);
 void save_tick(struct lead *, int64_t now_ms);
-void record_worker(struct sched *, struct sched_worker *, void *ctx);
-void record_forget(struct sched *, struct sched_worker *, void *ctx);
-struct recorded *record_add(
-    struct lead *, const char *id, const char *address, bool stored);
+/* Name the leader's record at our revision: the write fails once it isn't. */
+void save_compare_leader(const struct lead *, struct kv_compare *);
+/* Common to the answers of all writes; false: the lead is over. */
+bool save_answered(struct lead *, const struct kv_result *, int64_t sent_ms);
+
+/* lead_record.c */
+/* What the record should say of the worker changed, or it is forgotten. */
+void lead_record_changed(struct sched *, struct sched_worker *, void *ctx);
+void lead_record_load(struct lead *, const struct kv_item *);
+void lead_record_tick(struct lead *, int64_t now_ms);
 
 /* lead_calls.c */
 extern const struct sched_actions lead_sched_actions;
--- a/entry/lead_load.c
+++ b/entry/lead_load.c
@@ -63,35 +63,6 @@
 	TAILQ_INSERT_TAIL(&l->progresses, progress, link);
 }
 
-static void
-load_recorded(struct lead *l, const struct kv_item *item)
-{
-	const char *id, *address;
-	struct sched_worker *worker;
-	json_t *list, *row;
-	size_t i;
-
-	if (strcmp(item->key, KEY_WORKERS) != 0)
-		return;
-	l->record_revision = item->revision;
-	if ((list = json_loadb(item->value, item->len, 0, NULL)) == NULL) {
-		log_error("worker_record_damaged", "key=%s", item->key);
-		return;
-	}
-	json_array_foreach(list, i, row)
-	{
-		id = json_string_value(json_array_get(row, 0));
-		address = json_string_value(json_array_get(row, 1));
-		if (id == NULL || address == NULL ||
-		    (worker = sched_worker_get(l->sched, id)) == NULL)
-			continue;
-		strlcpy(worker->address, address, sizeof(worker->address));
-		sched_worker_recorded(worker);
-		record_add(l, id, address, true);
-	}
-	json_decref(list);
-}
-
 static void
 load_worker(struct lead *l, const struct kv_item *item)
 {
@@ -131,7 +102,7 @@
 {
 	start_part(l, KEY_JOB, load_job, jobs_read);
 	start_part(l, KEY_PROGRESS, load_progress, NULL);
-	start_part(l, KEY_WORKERS, load_recorded, NULL);
+	start_part(l, KEY_WORKERS, lead_record_load, NULL);
 	start_part(
 	    l, l->node->opt.world.workers_prefix, load_worker, workers_read);
 }
--- /dev/null
+++ b/entry/lead_record.c
@@ -0,0 +1,276 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "log.h"
+#include "lead_int.h"
+
+/*
+ * The record of workers: who may run something, and whose lease is left to
+ * expire.  A next leader asks the former, and waits for the latter no longer
+ * than the record says.  It is written whole, on condition of its own
+ * revision and of the leader's record: so it is always as the last write that
+ * was answered says, and a late one can't come after a newer one.
+ *
+ * A row is [id, address], or [id, address, left_ms, term] for a worker whose
+ * lease nobody renews: all that runs there has lapsed left_ms after the write.
+ * An earlier version of the program knows only the former kind, and renews
+ * whom it will; so the word holds only if the last leader wrote it.
+ */
+
+#define RETRY_MS 100
+/*
+ * While a lease runs out its rest is written again so often: a next leader
+ * counts from its own reading, and waits longer by no more than this.
+ */
+#define REFRESH_MS 250
+
+struct record_row {
+	char id[SCHED_WORKER_ID_MAX];
+	enum worker_record record;
+};
+
+struct record_write {
+	struct lead *lead;
+	int64_t sent_ms;
+	size_t n;
+	struct record_row *rows;
+};
+
+void
+lead_record_changed(struct sched *s, struct sched_worker *worker, void *ctx)
+{
+	struct lead *l;
+
+	(void)s;
+	(void)worker;
+	l = ctx;
+	l->record_dirty = true;
+}
+
+static void
+load_row(struct lead *l, const json_t *row, int64_t now_ms)
+{
+	enum worker_record record;
+	struct sched_worker *worker;
+	const char *id, *address;
+	uint64_t term;
+
+	id = json_string_value(json_array_get(row, 0));
+	address = json_string_value(json_array_get(row, 1));
+	if (id == NULL || address == NULL ||
+	    (worker = sched_worker_get(l->sched, id)) == NULL)
+		return;
+	strlcpy(worker->address, address, sizeof(worker->address));
+	record = RECORD_IN_USE;
+	term = (uint64_t)json_integer_value(json_array_get(row, 3));
+	if (json_array_size(row) > 2 && term + 1 >= l->sched->opt.term) {
+		record = RECORD_EXPIRING;
+		l->record_dirty = true;
+	}
+	sched_worker_inherit(
+	    worker, record, json_integer_value(json_array_get(row, 2)), now_ms);
+}
+
+void
+lead_record_load(struct lead *l, const struct kv_item *item)
+{
+	json_t *list, *row;
+	int64_t now_ms;
+	size_t i;
+
+	if (strcmp(item->key, KEY_WORKERS) != 0)
+		return;
+	now_ms = clock_now_ms();
+	l->record_revision = item->revision;
+	if ((list = json_loadb(item->value, item->len, 0, NULL)) == NULL) {
+		/* Unasked, its workers may run what we would start again. */
+		log_error("worker_record_damaged", "key=%s", item->key);
+		abort();
+	}
+	json_array_foreach(list, i, row)
+	{
+		load_row(l, row, now_ms);
+	}
+	json_decref(list);
+}
+
+static struct record_write *
+write_new(struct lead *l, int64_t now_ms)
+{
+	struct sched_worker *worker;
+	struct record_write *write;
+	size_t n;
+
+	n = 1;
+	RB_FOREACH (worker, sched_worker_tree, &l->sched->workers)
+		n++;
+	if ((write = calloc(1, sizeof(*write))) == NULL)
+		return NULL;
+	if ((write->rows = calloc(n, sizeof(*write->rows))) == NULL) {
+		free(write);
+		return NULL;
+	}
+	write->lead = l;
+	write->sent_ms = now_ms;
+	return write;
+}
+
+static void
+write_free(struct record_write *write)
+{
+	free(write->rows);
+	free(write);
+}
+
+static json_t *
+row_of(struct lead *l, const struct sched_worker *worker, int64_t now_ms)
+{
+	int64_t left_ms;
+
+	if (worker->record_wanted != RECORD_EXPIRING)
+		return json_pack("[ss]", worker->id, worker->address);
+	left_ms = sched_worker_left_ms(l->sched, worker, now_ms);
+	if (left_ms > 0)
+		l->record_refresh = true;
+	return json_pack("[ssII]", worker->id, worker->address,
+	    (json_int_t)left_ms, (json_int_t)l->sched->opt.term);
+}
+
+/* All rows as text, and which worker is in which state by them. */
+static char *
+compose(struct lead *l, struct record_write *write, int64_t now_ms)
+{
+	struct sched_worker *worker;
+	struct record_row *row;
+	json_t *list;
+	char *text;
+
+	l->record_refresh = false;
+	list = json_array();
+	RB_FOREACH (worker, sched_worker_tree, &l->sched->workers) {
+		if (worker->record_wanted == RECORD_NONE)
+			continue;
+		json_array_append_new(list, row_of(l, worker, now_ms));
+		row = &write->rows[write->n++];
+		strlcpy(row->id, worker->id, sizeof(row->id));
+		row->record = worker->record_wanted;
+	}
+	text = json_dumps(list, JSON_COMPACT);
+	json_decref(list);
+	return text;
+}
+
+/* Until the answer comes nobody knows what the store has of these. */
+static void
+mark_unsure(struct lead *l)
+{
+	struct sched_worker *worker;
+
+	RB_FOREACH (worker, sched_worker_tree, &l->sched->workers) {
+		if (worker->record != worker->record_wanted)
+			sched_worker_recorded(worker, RECORD_UNSURE);
+	}
+}
+
+static void
+mark_stored(struct lead *l, const struct record_write *write)
+{
+	struct sched_worker *worker;
+	size_t i;
+
+	for (i = 0; i < write->n; i++) {
+		worker = sched_worker_find(l->sched, write->rows[i].id);
+		if (worker != NULL)
+			sched_worker_recorded(worker, write->rows[i].record);
+	}
+	l->sched->place_wanted = true;
+}
+
+static void
+learn_revision(struct lead *l, const struct kv_result *result)
+{
+	size_t i;
+
+	for (i = 0; i < result->nitems; i++) {
+		if (strcmp(result->items[i].key, KEY_WORKERS) == 0)
+			l->record_revision = result->items[i].revision;
+	}
+}
+
+static void
+on_recorded(const struct kv_result *result, void *ctx)
+{
+	struct record_write *write;
+	struct lead *l;
+
+	write = ctx;
+	l = write->lead;
+	if (save_answered(l, result, write->sent_ms)) {
+		l->record_out = false;
+		if (result->error == KV_OK) {
+			l->record_revision = result->revision;
+			mark_stored(l, write);
+		} else {
+			l->record_dirty = true;
+			l->record_retry_ms = clock_now_ms() + RETRY_MS;
+		}
+		if (result->error == KV_CONFLICT)
+			learn_revision(l, result);
+		lead_kick(l);
+	}
+	write_free(write);
+	lead_let_go(l);
+}
+
+static void
+lead_record_send(struct lead *l, struct record_write *write, const char *text)
+{
+	struct kv_compare compares[2];
+	struct kv_txn txn;
+	struct kv_put put;
+
+	memset(&txn, 0, sizeof(txn));
+	save_compare_leader(l, &compares[0]);
+	compares[1].key = KEY_WORKERS;
+	compares[1].revision = l->record_revision;
+	put.key = KEY_WORKERS;
+	put.value = text;
+	put.len = strlen(text);
+	txn.compares = compares;
+	txn.ncompares = 2;
+	txn.puts = &put;
+	txn.nputs = 1;
+	l->record_out = true;
+	l->record_dirty = false;
+	l->record_ms = write->sent_ms;
+	lead_hold(l);
+	l->node->opt.kv.txn(l->node->opt.kv.self, &txn, on_recorded, write);
+}
+
+/*
+ * Without the store nothing is sent: a worker that is said to expire may not
+ * be renewed until the store's answer says otherwise, and would lose what
+ * runs there to an outage that doesn't touch it.
+ */
+void
+lead_record_tick(struct lead *l, int64_t now_ms)
+{
+	struct record_write *write;
+	char *text;
+
+	if (l->record_refresh && now_ms - l->record_ms >= REFRESH_MS)
+		l->record_dirty = true;
+	if (!l->record_dirty || l->record_out || now_ms < l->record_retry_ms ||
+	    l->sched->store_away)
+		return;
+	if ((write = write_new(l, now_ms)) == NULL)
+		return;
+	if ((text = compose(l, write, now_ms)) == NULL) {
+		write_free(write);
+		return;
+	}
+	mark_unsure(l);
+	lead_record_send(l, write, text);
+	free(text);
+}
--- a/entry/lead_save.c
+++ b/entry/lead_save.c
@@ -63,8 +63,8 @@
 	}
 }
 
-static void
-compare_leader(const struct lead *l, struct kv_compare *compare)
+void
+save_compare_leader(const struct lead *l, struct kv_compare *compare)
 {
 	compare->key = KEY_LEADER;
 	compare->revision = l->node->elect.leader.revision;
@@ -84,9 +84,8 @@
 	return false;
 }
 
-/* Common to all answers; false: the lead is over. */
-static bool
-answered(struct lead *l, const struct kv_result *result, int64_t sent_ms)
+bool
+save_answered(struct lead *l, const struct kv_result *result, int64_t sent_ms)
 {
 	if (l->closed)
 		return false;
@@ -161,7 +160,7 @@
 	size_t i;
 
 	memset(&txn, 0, sizeof(txn));
-	compare_leader(l, &compares[txn.ncompares++]);
+	save_compare_leader(l, &compares[txn.ncompares++]);
 	if (write->pulse) {
 		puts[txn.nputs].key = KEY_PULSE;
 		puts[txn.nputs].value = "1";
@@ -259,7 +258,7 @@
 	now_ms = clock_now_ms();
 	if (write->pulse)
 		l->pulse_out = false;
-	if (answered(l, result, write->sent_ms)) {
+	if (save_answered(l, result, write->sent_ms)) {
 		l->saves--;
 		for (i = 0; i < write->n; i++)
 			settle_row(l, &write->rows[i], result);
@@ -316,170 +315,6 @@
 	send_save(l, write);
 }
 
-/* The record of workers. */
-
-struct recorded *
-record_add(struct lead *l, const char *id, const char *address, bool stored)
-{
-	struct recorded *recorded;
-
-	TAILQ_FOREACH (recorded, &l->recordeds, link) {
-		if (strcmp(recorded->id, id) == 0)
-			return recorded;
-	}
-	if ((recorded = calloc(1, sizeof(*recorded))) == NULL)
-		return NULL;
-	strlcpy(recorded->id, id, sizeof(recorded->id));
-	strlcpy(recorded->address, address, sizeof(recorded->address));
-	recorded->stored = stored;
-	TAILQ_INSERT_TAIL(&l->recordeds, recorded, link);
-	if (!stored)
-		l->record_dirty = true;
-	return recorded;
-}
-
-void
-record_worker(struct sched *s, struct sched_worker *worker, void *ctx)
-{
-	struct recorded *recorded;
-
-	(void)s;
-	recorded = record_add(ctx, worker->id, worker->address, false);
-	if (recorded != NULL && recorded->stored)
-		sched_worker_recorded(worker);
-}
-
-void
-record_forget(struct sched *s, struct sched_worker *worker, void *ctx)
-{
-	struct recorded *recorded;
-	struct lead *l;
-
-	(void)s;
-	l = ctx;
-	TAILQ_FOREACH (recorded, &l->recordeds, link) {
-		if (strcmp(recorded->id, worker->id) != 0)
-			continue;
-		TAILQ_REMOVE(&l->recordeds, recorded, link);
-		free(recorded);
-		l->record_dirty = true;
-		return;
-	}
-}
-
-struct record_write {
-	struct lead *lead;
-	int64_t sent_ms;
-	size_t n;
-	char (*ids)[SCHED_WORKER_ID_MAX];
-};
-
-static void
-mark_stored(struct lead *l, const struct record_write *write)
-{
-	struct sched_worker *worker;
-	struct recorded *recorded;
-	size_t i;
-
-	for (i = 0; i < write->n; i++) {
-		TAILQ_FOREACH (recorded, &l->recordeds, link) {
-			if (strcmp(recorded->id, write->ids[i]) == 0)
-				recorded->stored = true;
-		}
-		worker = sched_worker_find(l->sched, write->ids[i]);
-		if (worker != NULL)
-			sched_worker_recorded(worker);
-	}
-	l->sched->place_wanted = true;
-}
-
-static void
-on_recorded(const struct kv_result *result, void *ctx)
-{
-	struct record_write *write;
-	struct lead *l;
-	size_t i;
-
-	write = ctx;
-	l = write->lead;
-	if (answered(l, result, write->sent_ms)) {
-		l->record_out = false;
-		if (result->error == KV_OK) {
-			l->record_revision = result->revision;
-			mark_stored(l, write);
-		} else {
-			l->record_dirty = true;
-			l->record_retry_ms = clock_now_ms() + RETRY_MS;
-		}
-		for (i = 0; result->error == KV_CONFLICT && i < result->nitems;
-		     i++) {
-			if (strcmp(result->items[i].key, KEY_WORKERS) == 0)
-				l->record_revision = result->items[i].revision;
-		}
-		lead_kick(l);
-	}
-	free(write->ids);
-	free(write);
-	lead_let_go(l);
-}
-
-static void
-save_record(struct lead *l, int64_t now_ms)
-{
-	struct kv_compare compares[2];
-	struct record_write *write;
-	struct recorded *recorded;
-	struct kv_txn txn;
-	struct kv_put put;
-	json_t *list;
-	char *text;
-	size_t n;
-
-	if (!l->record_dirty || l->record_out || now_ms < l->record_retry_ms)
-		return;
-	n = 0;
-	TAILQ_FOREACH (recorded, &l->recordeds, link)
-		n++;
-	if ((write = calloc(1, sizeof(*write))) == NULL)
-		return;
-	write->lead = l;
-	write->sent_ms = now_ms;
-	if ((write->ids = calloc(n + 1, sizeof(*write->ids))) == NULL) {
-		free(write);
-		return;
-	}
-	list = json_array();
-	TAILQ_FOREACH (recorded, &l->recordeds, link) {
-		strlcpy(
-		    write->ids[write->n++], recorded->id, SCHED_WORKER_ID_MAX);
-		json_array_append_new(
-		    list, json_pack("[ss]", recorded->id, recorded->address));
-	}
-	text = json_dumps(list, JSON_COMPACT);
-	json_decref(list);
-	if (text == NULL) {
-		free(write->ids);
-		free(write);
-		return;
-	}
-	memset(&txn, 0, sizeof(txn));
-	compare_leader(l, &compares[0]);
-	compares[1].key = KEY_WORKERS;
-	compares[1].revision = l->record_revision;
-	put.key = KEY_WORKERS;
-	put.value = text;
-	put.len = strlen(text);
-	txn.compares = compares;
-	txn.ncompares = 2;
-	txn.puts = &put;
-	txn.nputs = 1;
-	l->record_out = true;
-	l->record_dirty = false;
-	lead_hold(l);
-	l->node->opt.kv.txn(l->node->opt.kv.self, &txn, on_recorded, write);
-	free(text);
-}
-
 /* Keys of jobs that nobody may ask for any more. */
 
 struct forget_write {
@@ -515,7 +350,7 @@
 
 	write = ctx;
 	l = write->lead;
-	if (answered(l, result, write->sent_ms)) {
+	if (save_answered(l, result, write->sent_ms)) {
 		l->forget_out = false;
 		if (result->error == KV_OK) {
 			l->nforget -= write->n;
@@ -552,7 +387,7 @@
 		removes[write->n] = keys[write->n];
 	}
 	memset(&txn, 0, sizeof(txn));
-	compare_leader(l, &compare);
+	save_compare_leader(l, &compare);
 	txn.compares = &compare;
 	txn.ncompares = 1;
 	txn.removes = removes;
@@ -568,6 +403,6 @@
 	if (l->closed || !l->ready)
 		return;
 	save_jobs(l, now_ms);
-	save_record(l, now_ms);
+	lead_record_tick(l, now_ms);
 	save_forgotten(l, now_ms);
 }
--- a/entry/members.c
+++ b/entry/members.c
@@ -442,6 +442,9 @@
 {
 	struct member *member, *next;
 
+	/* It counts among those that may lead by now. */
+	if (!lead_has_store(node->lead, now_ms))
+		return;
 	for (member = TAILQ_FIRST(&node->members); member != NULL;
 	     member = next) {
 		next = TAILQ_NEXT(member, link);
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -8,6 +8,8 @@
 
 constexpr int64_t kTick = 10, kWay = 3, kOrderTimeout = 400;
 constexpr int64_t kLease = 5000, kFormer = 2000, kStop = 50;
+constexpr int64_t kHoldMax = 10000; // workers cut longer leases to it
+constexpr int64_t kRefresh = 250; // of the record, while a lease runs out
 constexpr int kMaxAttempts = 3, kWorkers = 4;
 
 Leader *
@@ -102,6 +104,8 @@
 		worker->id = "w" + std::to_string(lives_++);
 		worker->place = i;
 		worker->capacity = { 4000, 4000, 0 };
+		if (faults.slow_clocks)
+			worker->slow = 0.005 * i;
 		workers_.push_back(std::move(worker));
 	}
 	TakeOver();
@@ -255,12 +259,14 @@
 	leader->sched = sched_open(&options);
 	if (Chance(faults_.silent)) {
 		Worker *worker = workers_[random_() % workers_.size()].get();
-		worker->reachable = false;
-		At(now_ms + 6000, [worker] { worker->reachable = true; });
+		worker->deaf_from = 0;
+		At(now_ms + 6000, [worker] { worker->deaf_from = UINT64_MAX; });
 	}
-	for (const auto &id : recorded_)
-		sched_worker_recorded(
-		    sched_worker_get(leader->sched, id.c_str()));
+	for (const auto &[id, row] : recorded_)
+		sched_worker_inherit(
+		    sched_worker_get(leader->sched, id.c_str()),
+		    row.term + 1 >= term_ ? row.record : RECORD_IN_USE,
+		    row.left_ms, now_ms);
 	for (auto &[id, job] : jobs_) {
 		struct sched_job *loaded = sched_job_add(
 		    leader->sched, Graph(id), now_ms, true, now_ms);
@@ -330,7 +336,7 @@
 	sched_task_name(run->task, &task);
 	starts++;
 	auto reply = [this, leader, id, task, attempt, answered](
-			 enum worker_answer answer) {
+			 enum worker_answer answer, int64_t clock) {
 		if (*answered || leader->sched == nullptr)
 			return;
 		*answered = true;
@@ -338,20 +344,21 @@
 		    sched_worker_find(leader->sched, id.c_str());
 		if (worker != nullptr)
 			sched_start_answered(leader->sched, worker, &task,
-			    attempt, answer, now_ms, now_ms);
+			    attempt, answer, clock, now_ms);
 	};
 	Deliver(faults_.late, [=, this] {
 		Worker *worker = Find(id);
 		std::string name = NameOf(task);
 		enum worker_answer answer = ANSWER_OK;
-		if (worker == nullptr || !worker->alive || !worker->reachable)
+		if (!Reaches(leader, worker))
 			return;
 		bool fenced = term < worker->token && lax_ != Lax::NoFence;
 		worker->token = std::max(worker->token, term);
 		auto over = worker->over.find(name);
 		if (fenced)
 			answer = ANSWER_FENCED;
-		else if (deadline <= now_ms && lax_ != Lax::NoLateGuard)
+		else if (deadline <= ClockOf(*worker) &&
+		    lax_ != Lax::NoLateGuard)
 			answer = ANSWER_LATE;
 		else if (over != worker->over.end() &&
 		    attempt <= over->second && lax_ != Lax::NoLateGuard)
@@ -365,10 +372,11 @@
 				Chance(faults_.failing), false, size, 0 };
 			worker->lease_ms = std::max(worker->lease_ms, deadline);
 		}
+		int64_t clock = ClockOf(*worker);
 		if (!answer_lost)
-			At(now_ms + kWay, [=] { reply(answer); });
+			At(now_ms + kWay, [=] { reply(answer, clock); });
 	});
-	At(now_ms + kOrderTimeout, [=] { reply(ANSWER_LOST); });
+	At(now_ms + kOrderTimeout, [=] { reply(ANSWER_LOST, 0); });
 }
 
 void
@@ -379,7 +387,7 @@
 	bool answer_lost = Chance(faults_.lost);
 	auto answered = std::make_shared<bool>(false);
 	auto reply = [this, leader, id, task, attempt, answered](
-			 enum worker_answer answer) {
+			 enum worker_answer answer, int64_t clock) {
 		if (*answered || leader->sched == nullptr)
 			return;
 		*answered = true;
@@ -387,13 +395,13 @@
 		    sched_worker_find(leader->sched, id.c_str());
 		if (worker != nullptr)
 			sched_stop_answered(leader->sched, worker, &task,
-			    attempt, answer, now_ms, now_ms);
+			    attempt, answer, clock, now_ms);
 	};
 
 	Deliver(faults_.late, [=, this] {
 		Worker *worker = Find(id);
 		std::string name = NameOf(task);
-		if (worker == nullptr || !worker->alive || !worker->reachable)
+		if (!Reaches(leader, worker))
 			return;
 		bool fenced = term < worker->token && lax_ != Lax::NoFence;
 		worker->token = std::max(worker->token, term);
@@ -408,11 +416,14 @@
 				run->second.stop_ms = now_ms + kStop;
 			}
 		}
+		int64_t clock = ClockOf(*worker);
 		if (!answer_lost)
-			At(now_ms + kWay,
-			    [=] { reply(fenced ? ANSWER_FENCED : ANSWER_OK); });
+			At(now_ms + kWay, [=] {
+				reply(
+				    fenced ? ANSWER_FENCED : ANSWER_OK, clock);
+			});
 	});
-	At(now_ms + kOrderTimeout, [=] { reply(ANSWER_LOST); });
+	At(now_ms + kOrderTimeout, [=] { reply(ANSWER_LOST, 0); });
 }
 
 void
@@ -451,13 +462,13 @@
 	});
 	At(now_ms + kWay, [=, this] {
 		Worker *worker = Find(id);
-		if (worker == nullptr || !worker->alive || !worker->reachable)
+		if (!Reaches(leader, worker))
 			return;
 		bool fenced = term < worker->token && lax_ != Lax::NoFence;
 		worker->token = std::max(worker->token, term);
 		if (!fenced) {
 			worker->lease_ms = std::max(worker->lease_ms,
-			    std::min(deadline, now_ms + kLease));
+			    std::min(deadline, ClockOf(*worker) + kHoldMax));
 			while (!worker->ends.empty() &&
 			    worker->ends.front().number <= acknowledged) {
 				Noted(worker->ends.front());
@@ -482,7 +493,7 @@
 		for (auto &end : worker->ends)
 			ends->push_back(
 			    { end.number, end.task, end.attempt, end.how, "" });
-		int64_t clock = now_ms;
+		int64_t clock = ClockOf(*worker);
 		if (answer_lost)
 			return;
 		At(now_ms + kWay, [=, this] {
@@ -547,19 +558,100 @@
 void
 World::Record(Leader *leader, struct sched_worker *worker)
 {
-	std::string id = worker->id;
+	auto found = leader->recording.find(worker->id);
 
-	At(now_ms + kWay, [this, leader, id] {
-		if (leader->sched == nullptr || leader->term != term_)
-			return;
-		recorded_.insert(id);
-		struct sched_worker *known =
-		    sched_worker_find(leader->sched, id.c_str());
-		if (known != nullptr)
-			sched_worker_recorded(known);
+	if (found != leader->recording.end())
+		found->second = true;
+	else
+		SendRecord(leader, worker->id);
+}
+
+// One write of a leader at a time, on condition that nobody leads later.
+void
+World::SendRecord(Leader *leader, const std::string &id)
+{
+	struct sched_worker *worker;
+	struct Recorded row;
+	bool lost, done;
+
+	if (leader->sched == nullptr ||
+	    (worker = sched_worker_find(leader->sched, id.c_str())) == nullptr)
+		return;
+	leader->recording[id] = false;
+	row = { worker->record_wanted,
+		sched_worker_left_ms(leader->sched, worker, now_ms),
+		leader->term };
+	lost = Chance(faults_.unsaved);
+	done = !lost || Chance(0.5);
+	sched_worker_recorded(worker, RECORD_UNSURE);
+	if (lax_ == Lax::EarlyRecord && row.record == RECORD_IN_USE &&
+	    recorded_.count(id)) {
+		sched_worker_recorded(worker, RECORD_IN_USE);
+		done = false;
+	}
+	At(now_ms + kWay, [=, this] {
+		bool holds = leader->term == term_;
+		if (holds && done)
+			recorded_[id] = row;
+		At(now_ms + (lost ? 200 : kWay), [=, this] {
+			if (leader->sched == nullptr || !holds)
+				return;
+			bool changed = leader->recording[id];
+			leader->recording.erase(id);
+			struct sched_worker *known =
+			    sched_worker_find(leader->sched, id.c_str());
+			if (known != nullptr && !lost)
+				sched_worker_recorded(known, row.record);
+			if (lost || changed)
+				SendRecord(leader, id);
+		});
 	});
 }
 
+// Leases that run out: how much is left of them.
+void
+World::RefreshRecord(Leader *leader)
+{
+	if (leader->term != term_ || now_ms % kRefresh >= kTick)
+		return;
+	for (auto &[id, row] : recorded_) {
+		struct sched_worker *worker =
+		    sched_worker_find(leader->sched, id.c_str());
+		if (worker != nullptr && row.record == RECORD_EXPIRING &&
+		    worker->record == RECORD_EXPIRING &&
+		    worker->record_wanted == RECORD_EXPIRING)
+			row = { RECORD_EXPIRING,
+				sched_worker_left_ms(
+				    leader->sched, worker, now_ms),
+				leader->term };
+	}
+}
+
+int64_t
+World::ClockOf(const Worker &worker) const
+{
+	return static_cast<int64_t>(
+	    static_cast<double>(now_ms) * (1 - worker.slow));
+}
+
+bool
+World::Reaches(const Leader *leader, const Worker *worker) const
+{
+	return worker != nullptr && worker->alive &&
+	    leader->term < worker->deaf_from;
+}
+
+// A worker can't be reached for a while, by any leader or by those to come.
+void
+World::Cut()
+{
+	Worker *worker = workers_[random_() % workers_.size()].get();
+
+	worker->deaf_from = Chance(0.5) ? 0 : term_ + 1;
+	At(now_ms + std::uniform_int_distribution<int64_t>(300, 9000)(random_),
+	    [worker] { worker->deaf_from = UINT64_MAX; });
+}
+
 void
 World::Unknown(Leader *leader, const std::string &id)
 {
@@ -612,7 +704,7 @@
 		names.push_back(name);
 	for (auto &name : names) {
 		Run &run = worker.runs[name];
-		if (worker.lease_ms <= now_ms)
+		if (worker.lease_ms <= ClockOf(worker))
 			EndRun(worker, name, END_LAPSED);
 		else if (run.stopping && run.stop_ms <= now_ms)
 			EndRun(worker, name, END_STOPPED);
@@ -639,6 +731,7 @@
 	next->id = "w" + std::to_string(lives_++);
 	next->place = worker.place;
 	next->capacity = worker.capacity;
+	next->slow = worker.slow;
 	workers_.push_back(std::move(next));
 }
 
@@ -669,6 +762,7 @@
 				sched_worker_unlisted(s, known, now_ms);
 		}
 		sched_act(s, now_ms);
+		RefreshRecord(leader.get());
 	}
 	now_ms += kTick;
 }
@@ -679,11 +773,14 @@
 	int64_t end_ms = now_ms + ms;
 	auto sometime = [this] {
 		return now_ms +
-		    std::uniform_int_distribution<int64_t>(50, 5000)(random_);
+		    std::uniform_int_distribution<int64_t>(
+			50, faults_.window_ms)(random_);
 	};
 
 	for (int i = 0; i < faults_.takeovers; i++)
 		At(sometime(), [this] { TakeOver(); });
+	for (int i = 0; i < faults_.cuts; i++)
+		At(sometime(), [this] { Cut(); });
 	for (int i = 0; i < faults_.crashes; i++)
 		At(sometime(), [this] { Crash(); });
 	for (int i = 0; i < faults_.cancels; i++)
--- a/tests/sched_world.h
+++ b/tests/sched_world.h
@@ -30,13 +30,24 @@
 	double failing = 0; // share of runs that fail
 	double silent = 0; // share of takeovers at which a worker is silent
 	int takeovers = 0;
+	int cuts = 0; // a worker can't be reached for a while, and runs on
+	bool slow_clocks = false; // of workers, by up to 2 %
+	int64_t window_ms = 5000; // in which takeovers and the like happen
 	int crashes = 0; // of workers, which come back as another life
 	int cancels = 0;
 };
 
 // What a lax world gets wrong, to see that the checks notice it.  NoLateGuard
 // carries late starts out whatever their deadline and earlier stops say.
-enum class Lax { None, NoFence, NoLateGuard, ForgetProgress, AckUnsaved };
+// EarlyRecord says that a worker is in use before the store has it.
+enum class Lax {
+	None,
+	NoFence,
+	NoLateGuard,
+	ForgetProgress,
+	AckUnsaved,
+	EarlyRecord
+};
 
 struct Run {
 	uint32_t attempt;
@@ -59,15 +70,23 @@
 	int place; // where it stands; lives follow each other there
 	struct resources capacity;
 	bool alive = true;
-	bool reachable = true;
+	uint64_t deaf_from = UINT64_MAX; // to leaders of this term and later
 	uint64_t token = 0;
-	int64_t lease_ms = 0; // on the world's clock
+	double slow = 0; // its clock, by this share
+	int64_t lease_ms = 0; // on its clock
 	std::map<std::string, Run> runs;
 	std::map<std::string, uint32_t> over; // highest attempt ended there
 	std::vector<End> ends;
 	uint64_t next_number = 1;
 };
 
+// What the store's record has of a worker.
+struct Recorded {
+	enum worker_record record;
+	int64_t left_ms;
+	uint64_t term;
+};
+
 class World;
 
 struct Leader {
@@ -79,6 +98,7 @@
 	int64_t ready_ms = 0;
 	std::map<std::string, int64_t> revisions;
 	std::set<std::string> unknown;
+	std::map<std::string, bool> recording; // true: changed meanwhile
 };
 
 class World {
@@ -134,6 +154,11 @@
 	void EndRun(Worker &, const std::string &name, enum look_end how);
 	Worker *Find(const std::string &id);
 	void Crash();
+	void Cut();
+	bool Reaches(const Leader *, const Worker *) const;
+	int64_t ClockOf(const Worker &) const;
+	void SendRecord(Leader *, const std::string &worker);
+	void RefreshRecord(Leader *);
 	void CheckStart(
 	    Worker &, const struct task_name &, const struct resources &size);
 	void Noted(const End &);
@@ -150,7 +175,7 @@
 	std::map<std::string, int64_t> progress_revision_;
 	std::map<std::string, std::string> ended_;
 	std::map<std::string, std::string> submitted_;
-	std::set<std::string> recorded_;
+	std::map<std::string, Recorded> recorded_;
 	std::set<std::string> cancelled_;
 	std::map<std::string, TaskFacts> facts_;
 	int64_t revision_ = 1;
--- a/tests/test_handover.cc
+++ b/tests/test_handover.cc
@@ -1,5 +1,6 @@
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstring>
 #include <functional>
 #include <map>
@@ -72,16 +73,17 @@
 		clock_resume();
 	}
 
-	// An entry that has just started; the only one, so it leads.
-	void
-	Open()
+	// An entry that has just started; the first one leads.
+	struct node *
+	Open(const char *id = "e1")
 	{
 		struct node_options options;
+		struct node *opened = nullptr;
 		enum node_error error;
 
 		memset(&options, 0, sizeof(options));
 		options.loop = &loop;
-		options.id = "e1";
+		options.id = id;
 		options.ip = "127.0.0.1";
 		options.data_center = "here";
 		options.power = 1;
@@ -95,21 +97,24 @@
 			WorkerId };
 		// Below the ports that the system gives to clients; other
 		// programs on the machine may have one.
-		for (int i = 0; i < 20 && node == nullptr; i++) {
+		for (int i = 0; i < 20 && opened == nullptr; i++) {
 			options.port = 20000 + (getpid() + ports++) % 10000;
-			node = node_open(&options, &error);
+			opened = node_open(&options, &error);
 		}
-		ASSERT_NE(node, nullptr) << node_strerror(error);
+		EXPECT_NE(opened, nullptr) << node_strerror(error);
+		nodes.push_back(opened);
+		return opened;
 	}
 
+	// Killed: it tells nobody.  All calls are answered once, also when
+	// nobody listens any more.
 	void
 	Close()
 	{
-		if (node == nullptr)
-			return;
-		node_close(node);
-		node = nullptr;
-		// Each call is answered once, also when nobody listens.
+		while (!nodes.empty()) {
+			node_close(nodes.back());
+			nodes.pop_back();
+		}
 		closing = true;
 		Deliver(INT64_MAX);
 		for (int i = 0; i < 3; i++)
@@ -118,6 +123,14 @@
 		closing = false;
 	}
 
+	// One that follows is killed; its own calls are answered in time.
+	void
+	Kill(struct node *node)
+	{
+		node_close(node);
+		nodes.erase(std::find(nodes.begin(), nodes.end(), node));
+	}
+
 	void
 	Restart()
 	{
@@ -205,7 +218,8 @@
 		g->steps[0].size = { 1000, 100, 0 };
 		g->steps[0].estimate_ms = 300;
 		g->steps[0].lasts = true;
-		node_submit(node, g, clock_now_ms() + 3000, Replied, this);
+		node_submit(
+		    nodes.front(), g, clock_now_ms() + 3000, Replied, this);
 	}
 
 	size_t
@@ -272,9 +286,12 @@
 			    copies.back().revision });
 		}
 		memset(&result, 0, sizeof(result));
-		result.error = closing ? KV_UNAVAILABLE : error;
+		result.error = closing || store_down ? KV_UNAVAILABLE : error;
 		result.items = rows.data();
-		result.nitems = closing ? 0 : rows.size();
+		result.nitems =
+		    result.error == KV_OK || result.error == KV_CONFLICT ?
+		    rows.size() :
+		    0;
 		result.revision = revision;
 		done(&result, ctx);
 	}
@@ -342,6 +359,10 @@
 		self->At(kWay, [=] {
 			std::vector<std::string> keys;
 			bool holds = true;
+			if (self->store_down) {
+				self->Reply(done, done_ctx, KV_UNAVAILABLE, {});
+				return;
+			}
 			for (auto &[key, at] : compares) {
 				auto found = self->items.find(key);
 				keys.push_back(key);
@@ -530,9 +551,9 @@
 	}
 
 	uv_loop_t loop;
-	struct node *node = nullptr;
+	std::vector<struct node *> nodes; // the first one leads
 	int ports = 0;
-	bool closing = false;
+	bool closing = false, store_down = false;
 	struct queue_config queue = {};
 	struct entry_config config = {};
 	std::map<std::string, Item> items;
@@ -618,3 +639,45 @@
 	EXPECT_EQ(workers["second"].runs.size(), 2u);
 	EXPECT_EQ(doubles, 0);
 }
+
+// The store is down, and callers of lasting tasks still find them: while all
+// entries follow the leader none can have replaced it, and it renews leases.
+TEST_F(Handover, AnOutageOfTheStoreEndsNoLeases)
+{
+	AddWorker("first");
+	Open();
+	Pass(1500);
+	Open("e2");
+	Pass(1500);
+	Submit("job", 2);
+	Pass(1000);
+	ASSERT_EQ(Running(), 2u);
+	store_down = true;
+	Pass(2 * kLease);
+	EXPECT_EQ(Running(), 2u);
+}
+
+// The store is down for the leader, and one entry is heard no more.  That one
+// may have the store and lead by now; it takes leases of workers that it can't
+// reach for over in time.  A leader that went on renewing them would let tasks
+// run twice, and callers get two answers of one task.
+TEST_F(Handover, ALeaderThatMayBeReplacedRenewsNothing)
+{
+	struct node *lost;
+
+	AddWorker("first");
+	Open();
+	Pass(1500);
+	Open("e2");
+	lost = Open("e3");
+	Pass(1500);
+	Submit("job", 2);
+	Pass(1000);
+	ASSERT_EQ(Running(), 2u);
+	store_down = true;
+	Pass(1500);
+	ASSERT_EQ(Running(), 2u);
+	Kill(lost);
+	Pass(2000 + kLease * 103 / 100);
+	EXPECT_EQ(Running(), 0u);
+}
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -171,15 +171,17 @@
 		Self(ctx)->paced.push_back({ o, percent });
 	}
 	static void
-	OnLook(
-	    struct sched *, struct sched_worker *w, int64_t, int64_t, void *ctx)
+	OnLook(struct sched *, struct sched_worker *w, int64_t deadline,
+	    int64_t, void *ctx)
 	{
 		Self(ctx)->looked.push_back(w->id);
+		Self(ctx)->renewed = deadline;
 	}
 	static void
-	OnRecord(struct sched *, struct sched_worker *w, void *)
+	OnRecord(struct sched *, struct sched_worker *w, void *ctx)
 	{
-		sched_worker_recorded(w);
+		if (!Self(ctx)->store_slow)
+			sched_worker_recorded(w, w->record_wanted);
 	}
 	static void
 	OnUnknown(struct sched *, const char *job, void *ctx)
@@ -215,7 +217,8 @@
 	std::vector<Order> started, stopped;
 	std::vector<std::pair<Order, int>> paced;
 	std::vector<std::string> looked, unknown;
-	bool deposed = false;
+	bool deposed = false, store_slow = false;
+	int64_t renewed = 0; // by the last look, on the worker's clock; 0: not
 };
 
 // A worker's answer reaches the leader after the leader gave up on it, and the
@@ -382,6 +385,8 @@
 	int64_t begin = now;
 	Order foreign;
 
+	sched_worker_inherit(
+	    sched_worker_get(s, "half"), RECORD_IN_USE, 0, now);
 	half = AddWorker("half", 4000);
 	other = AddWorker("other", 4000);
 	Add(Graph("a", 1, 1000), true);
@@ -409,6 +414,115 @@
 	EXPECT_LT(now, begin + 20000);
 }
 
+// Takeovers come one after the other while a worker is silent.  The record
+// has its lease expire in a second: what may run there waits so long, and not
+// for a whole lease counted from the beginning of this term.
+TEST_F(Sched, AnExpiringLeaseIsWaitedForNoLongerThanItLasts)
+{
+	struct sched_worker *silent = sched_worker_get(s, "silent");
+	int64_t begin = now;
+
+	sched_worker_inherit(silent, RECORD_EXPIRING, 1000, now);
+	AddWorker("other", 4000);
+	Add(Graph("a", 1, 1000), true);
+	sched_load_end(s, now);
+	OnlyOtherAnswers(950);
+	EXPECT_TRUE(started.empty());
+	EXPECT_GT(sched_worker_left_ms(s, silent, now), 0);
+	OnlyOtherAnswers(200);
+	EXPECT_EQ(started.size(), 1u);
+	EXPECT_LT(now, begin + options.lease_ms);
+}
+
+// A worker was silent and answers again.  As long as the store may have it
+// expire, a next leader counts on that: its lease isn't renewed, and nothing
+// is started there.
+TEST_F(Sched, NothingIsRenewedThatTheRecordMayHaveExpire)
+{
+	struct sched_worker *w = AddWorker("w", 4000);
+
+	Fence();
+	for (int i = 0; i < 3; i++) {
+		sched_look_answered(s, w, ANSWER_LOST, nullptr, now);
+		now += 400;
+		sched_act(s, now);
+	}
+	EXPECT_EQ(w->record, RECORD_EXPIRING);
+	EXPECT_EQ(renewed, 0);
+	store_slow = true;
+	Answer(w);
+	now += 10;
+	sched_act(s, now);
+	EXPECT_EQ(w->record_wanted, RECORD_IN_USE);
+	sched_worker_recorded(w, RECORD_UNSURE);
+	Add(Graph("a", 1, 1000));
+	Answer(w);
+	now += 1000;
+	sched_act(s, now);
+	EXPECT_EQ(renewed, 0);
+	EXPECT_TRUE(started.empty());
+	sched_worker_recorded(w, RECORD_IN_USE);
+	Answer(w);
+	now += 1000;
+	sched_act(s, now);
+	EXPECT_GT(renewed, 0);
+	EXPECT_EQ(started.size(), 1u);
+}
+
+// A worker that no earlier leader has used never answers: nothing of theirs
+// can run there, and tasks of earlier terms don't wait for it.
+TEST_F(Sched, AWorkerThatNobodyUsedHoldsNobodyUp)
+{
+	sched_worker_inherit(
+	    sched_worker_get(s, "other"), RECORD_IN_USE, 0, now);
+	AddWorker("other", 4000);
+	AddWorker("new", 4000);
+	Add(Graph("a", 1, 1000), true);
+	sched_load_end(s, now);
+	OnlyOtherAnswers(500);
+	EXPECT_EQ(started.size(), 1u);
+}
+
+// The last leader, not knowing that it was replaced, may be told of a job and
+// start it on a worker that only the new one can't reach.  A job that comes in
+// that time waits until the worker has surely lapsed; a later one doesn't.
+TEST_F(Sched, AJobThatTheLastLeaderMayHaveStartedWaits)
+{
+	sched_worker_inherit(
+	    sched_worker_get(s, "silent"), RECORD_IN_USE, 0, now);
+	AddWorker("other", 8000);
+	sched_load_end(s, now);
+	Add(Graph("early", 1, 1000));
+	OnlyOtherAnswers(options.former_ms);
+	EXPECT_TRUE(started.empty());
+	Add(Graph("later", 1, 1000));
+	OnlyOtherAnswers(200);
+	ASSERT_EQ(started.size(), 1u);
+	EXPECT_STREQ(started[0].task.job, "later");
+	OnlyOtherAnswers(options.lease_ms + 400);
+	EXPECT_EQ(started.size(), 2u);
+}
+
+// A worker's clock is slow by 2 % and the leader leads for long.  A lease that
+// ends later on that clock than a whole lease from now would outlast what a
+// next leader waits for, and a task would run twice.
+TEST_F(Sched, ALeaseIsNoLongerOnASlowClock)
+{
+	struct sched_worker *w = AddWorker("w", 4000);
+	int64_t begin = now;
+
+	while (now < begin + 200000) {
+		sched_act(s, now);
+		int64_t clock = now * 98 / 100;
+		struct look_result result = { clock, nullptr, 0, nullptr, 0 };
+		EXPECT_LE(renewed, clock + options.lease_ms);
+		now += 1000;
+		result.clock_ms = now * 98 / 100;
+		sched_look_answered(s, w, ANSWER_OK, &result, now);
+	}
+	EXPECT_GT(renewed, now * 98 / 100 + options.lease_ms - 1500);
+}
+
 // A task fails on two workers; their lists arrive in the other order, and the
 // first one is told again.  Each attempt counts once.
 TEST_F(Sched, FailuresCountOnceInAnyOrder)
--- a/tests/test_sched_model.cc
+++ b/tests/test_sched_model.cc
@@ -12,10 +12,12 @@
 constexpr int64_t kPlayMs = 90000;
 
 void
-SubmitSome(World &world)
+SubmitSome(World &world, int64_t window_ms = 5000)
 {
+	int64_t gap = window_ms * 80 / 5000;
+
 	for (int i = 0; i < 60; i++)
-		world.SubmitAt(1000 + 80 * i, "job" + std::to_string(i),
+		world.SubmitAt(1000 + gap * i, "job" + std::to_string(i),
 		    1 + i % 3, 1 + i % 2);
 }
 
@@ -27,7 +29,7 @@
 
 	for (unsigned seed = 1; seed <= kSeeds; seed++) {
 		World world(seed, faults, lax);
-		SubmitSome(world);
+		SubmitSome(world, faults.window_ms);
 		world.Play(kPlayMs);
 		for (auto &what : world.broken)
 			broken.push_back(
@@ -143,6 +145,24 @@
 	ExpectKept(faults);
 }
 
+// Workers are cut off and run on, some of them only from leaders to come,
+// while the leader is replaced again and again and writes lose their answers.
+// A next leader takes a lease for over no sooner than it is, and so nothing is
+// started while it may run; and no later than it must, so that all jobs end.
+TEST(SchedModel, CutOffWorkersWhileLeadersFollowEachOther)
+{
+	Faults faults;
+
+	faults.takeovers = 12;
+	faults.cuts = 24;
+	faults.window_ms = 20000;
+	faults.unsaved = 0.2;
+	faults.lost = 0.05;
+	faults.slow_clocks = true;
+	faults.failing = 0.1;
+	ExpectKept(faults);
+}
+
 // Workers crash with all that runs there and come back as another life.
 TEST(SchedModel, CrashedWorkers)
 {
@@ -206,3 +226,14 @@
 	faults.unsaved = 0.5;
 	EXPECT_FALSE(Broken(faults, Lax::AckUnsaved, false).empty());
 }
+
+// A leader that renews a lease which the record still leaves to expire.
+TEST(SchedModel, NoticesRenewalsBeforeTheRecord)
+{
+	Faults faults;
+
+	faults.takeovers = 12;
+	faults.cuts = 24;
+	faults.window_ms = 20000;
+	EXPECT_FALSE(Broken(faults, Lax::EarlyRecord, false).empty());
+}
--- a/tests/test_sched_share.cc
+++ b/tests/test_sched_share.cc
@@ -260,7 +260,7 @@
 	static void
 	OnRecord(struct sched *, struct sched_worker *w, void *)
 	{
-		sched_worker_recorded(w);
+		sched_worker_recorded(w, w->record_wanted);
 	}
 
 	struct sched_actions actions;
