Let each task wait only for the worker that it may run on

Cause: a new leader couldn't tell what runs on a worker that doesn't answer, so every task of an earlier term that no worker listed waited for every silent worker. While workers leave one after the other there is always one, and while leaders follow each other within a lease the wait has no end.

Ruled out: the lease of the task's own worker (worker_lapsed 0.75 s into the term, the task started 8.5 s later), room (49 usable workers).

Mend: on a worker that drains, or is silent, nobody starts anything any more, so what may run there only shrinks; the record names it, written when the drain is heard of and before it matters. Who takes over holds back these tasks only. A worker that is known to be empty holds nobody up.

--- a/core/sched.c
+++ b/core/sched.c
@@ -28,8 +28,10 @@
 		free(s);
 		return NULL;
 	}
-	s->inherited_silent = true;
-	s->former_silent = true;
+	/* All of them, until the first look at each. */
+	s->unsettled = UINT32_MAX;
+	s->any_left = true;
+	s->former_left = true;
 	return s;
 }
 
@@ -51,6 +53,7 @@
 		free(queue);
 	}
 	press_free(s->press);
+	free(s->left);
 	free(s);
 }
 
@@ -91,35 +94,6 @@
 	return s->random;
 }
 
-/*
- * After a takeover, tasks that no worker lists may still run on one that
- * hasn't answered yet.  They wait until each worker has answered or is over.
- * Where the record has the lease expire, the last leader started nothing any
- * more, so jobs that came at its end don't wait for that worker.
- */
-static void
-check_inherited(struct sched *s)
-{
-	struct sched_worker *worker;
-	bool inherited, former;
-
-	if (!s->inherited_silent)
-		return;
-	inherited = false;
-	former = false;
-	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
-		if (!worker->inherited || sched_worker_settled(worker))
-			continue;
-		inherited = true;
-		if (worker->expires_ms == 0)
-			former = true;
-	}
-	if (s->inherited_silent != inherited || s->former_silent != former)
-		s->place_wanted = true;
-	s->inherited_silent = inherited;
-	s->former_silent = former;
-}
-
 void
 sched_act(struct sched *s, int64_t now_ms)
 {
@@ -141,7 +115,7 @@
 	}
 	if (s->deposed)
 		return;
-	check_inherited(s);
+	inherit_check(s);
 	place_waiting(s, now_ms);
 	job_retire_old(s, now_ms);
 	if (!TAILQ_EMPTY(&s->dirty))
@@ -198,7 +172,8 @@
 	memset(load, 0, sizeof(*load));
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
 		load->workers++;
-		if (worker->inherited && !sched_worker_settled(worker))
+		if (worker->inherited != RECORD_NONE &&
+		    !sched_worker_settled(worker))
 			load->unsettled++;
 		if (worker_usable(worker, now_ms))
 			load->usable++;
--- /dev/null
+++ b/core/sched_inherit.c
@@ -0,0 +1,173 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "sched_int.h"
+
+/*
+ * What earlier leaders may have left on workers that haven't answered this
+ * one.  A task that no worker lists may run on such a worker; it waits until
+ * the worker has answered, is over, or all that runs there has lapsed.
+ *
+ * The record names the tasks of workers where nobody starts anything any more.
+ * Only these wait for that worker.  If all tasks waited for each silent
+ * worker, then none would start while workers go on leaving and leaders follow
+ * each other: there would always be one that has just gone.
+ */
+
+void
+sched_worker_inherit(struct sched_worker *worker,
+    const struct sched_inherited *from, int64_t now_ms)
+{
+	worker->inherited = from->record;
+	worker->record_may = RECORD_BIT(from->record);
+	worker->record_wanted = from->record;
+	if (from->record == RECORD_EXPIRING)
+		worker->expires_ms = now_ms + from->left_ms;
+	if (from->record == RECORD_IN_USE || !from->tasks_known)
+		return;
+	worker->left_tasks =
+	    reallocarray(NULL, from->ntasks + 1, sizeof(struct task_name));
+	if (worker->left_tasks == NULL)
+		return; /* not known: anything */
+	memcpy(worker->left_tasks, from->tasks,
+	    from->ntasks * sizeof(struct task_name));
+	worker->nleft_tasks = from->ntasks;
+}
+
+bool
+sched_worker_each_task(const struct sched_worker *worker,
+    void (*each)(const struct task_name *, void *ctx), void *ctx)
+{
+	const struct sched_stray *stray;
+	const struct sched_run *run;
+	struct task_name name;
+	size_t i;
+
+	if (!worker->fenced) {
+		for (i = 0; i < worker->nleft_tasks; i++)
+			each(&worker->left_tasks[i], ctx);
+		return worker->left_tasks != NULL;
+	}
+	TAILQ_FOREACH (run, &worker->runs, by_worker) {
+		sched_task_name(run->task, &name);
+		each(&name, ctx);
+	}
+	SLIST_FOREACH (stray, &worker->strays, link)
+		each(&stray->task, ctx);
+	return true;
+}
+
+bool
+worker_is_empty(const struct sched_worker *worker)
+{
+	if (!worker->fenced)
+		return worker->left_tasks != NULL && worker->nleft_tasks == 0;
+	return TAILQ_EMPTY(&worker->runs) && SLIST_EMPTY(&worker->strays);
+}
+
+bool
+sched_worker_settled(const struct sched_worker *worker)
+{
+	return worker->dead || worker->lapsed || worker->fenced ||
+	    worker_is_empty(worker);
+}
+
+static uint64_t
+key_of(const struct task_name *name)
+{
+	uint64_t key;
+
+	key = XXH64(name->job, strlen(name->job), name->occurrence);
+	key = XXH64(&name->step, sizeof(name->step), key);
+	return XXH64(&name->index, sizeof(name->index), key);
+}
+
+static int
+compare_keys(const void *a, const void *b)
+{
+	const uint64_t *left, *right;
+
+	left = a;
+	right = b;
+	return *left < *right ? -1 : *left > *right;
+}
+
+/* Without memory for their names, all tasks wait. */
+static void
+add_left(struct sched *s, const struct sched_worker *worker)
+{
+	uint64_t *keys;
+	size_t i;
+
+	if (worker->left_tasks == NULL) {
+		s->any_left = true;
+		return;
+	}
+	keys = reallocarray(
+	    s->left, s->nleft + worker->nleft_tasks + 1, sizeof(*keys));
+	if (keys == NULL) {
+		s->any_left = true;
+		return;
+	}
+	s->left = keys;
+	for (i = 0; i < worker->nleft_tasks; i++)
+		s->left[s->nleft++] = key_of(&worker->left_tasks[i]);
+}
+
+void
+inherit_check(struct sched *s)
+{
+	struct sched_worker *worker;
+	uint32_t unsettled;
+
+	if (s->unsettled == 0)
+		return;
+	unsettled = 0;
+	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
+		if (worker->inherited != RECORD_NONE &&
+		    !sched_worker_settled(worker))
+			unsettled++;
+	}
+	if (unsettled == s->unsettled)
+		return;
+	s->unsettled = unsettled;
+	s->place_wanted = true;
+	s->nleft = 0;
+	s->any_left = false;
+	s->former_left = false;
+	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
+		if (worker->inherited == RECORD_NONE ||
+		    sched_worker_settled(worker))
+			continue;
+		add_left(s, worker);
+		if (worker->inherited == RECORD_IN_USE)
+			s->former_left = true;
+	}
+	if (s->nleft > 1)
+		qsort(s->left, s->nleft, sizeof(*s->left), compare_keys);
+}
+
+bool
+inherit_may_run(const struct sched *s, const struct sched_task *task)
+{
+	const struct sched_job *job;
+	struct task_name name;
+	uint64_t key;
+
+	job = task_job(task);
+	/*
+	 * Of a job that came after the takeover the last leader may have been
+	 * told while it didn't know yet that it was replaced.  It started
+	 * nothing any more where the record says that nobody does.
+	 */
+	if (!job->inherited)
+		return job->early && s->former_left;
+	if (s->any_left || s->nleft == 0)
+		return s->any_left;
+	sched_task_name(task, &name);
+	key = key_of(&name);
+	return bsearch(&key, s->left, s->nleft, sizeof(key), compare_keys) !=
+	    NULL;
+}
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -57,6 +57,13 @@
 bool worker_usable(const struct sched_worker *, int64_t now_ms);
 void worker_acknowledge(struct sched_worker *);
 
+/* sched_inherit.c */
+/* It is known that nothing runs there. */
+bool worker_is_empty(const struct sched_worker *);
+void inherit_check(struct sched *);
+/* The task may run on a worker that hasn't answered this leader. */
+bool inherit_may_run(const struct sched *, const struct sched_task *);
+
 /* sched_place.c */
 void place_waiting(struct sched *, int64_t now_ms);
 
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -225,22 +225,6 @@
 	s->opt.actions->start(s, run, s->opt.ctx);
 }
 
-/*
- * The task may run on a worker not heard of yet: a former leader started it.
- * Of a job that came after the takeover the last one may have been told while
- * it didn't know yet that it was replaced.
- */
-static bool
-may_run_unknown(const struct placing *p, const struct sched_task *task)
-{
-	const struct sched_job *job;
-
-	job = task_job(task);
-	if (job->inherited)
-		return p->s->inherited_silent;
-	return job->early && p->s->former_silent;
-}
-
 /* false: there is no room for tasks of this step now. */
 static bool
 place_task(struct placing *p, struct sched_task *task)
@@ -271,7 +255,8 @@
 	attempt = 0;
 	for (i = 0; i < step->spec->count; i++) {
 		if (step->tasks[i].state != SCHED_WAITING ||
-		    step->tasks[i].not_before_ms > p->now_ms)
+		    step->tasks[i].not_before_ms > p->now_ms ||
+		    inherit_may_run(p->s, &step->tasks[i]))
 			return;
 		n = run_next_attempt(p->s, &step->tasks[i]);
 		if (n > attempt)
@@ -348,9 +333,7 @@
 		return;
 
 	if (step->spec->gang) {
-		if (!TAILQ_EMPTY(&step->waiting) &&
-		    !may_run_unknown(p, TAILQ_FIRST(&step->waiting)))
-			place_gang(p, step);
+		place_gang(p, step);
 		return;
 	}
 	for (task = TAILQ_FIRST(&step->waiting); task != NULL; task = next) {
@@ -359,8 +342,8 @@
 			sched_due(p->s, task->not_before_ms);
 			continue;
 		}
-		if (may_run_unknown(p, task))
-			return;
+		if (inherit_may_run(p->s, task))
+			continue;
 		if (p->started >= STARTS_MAX)
 			return;
 		if (!place_task(p, task)) {
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -58,6 +58,7 @@
 	strlcpy(worker->id, id, sizeof(worker->id));
 	worker->serial = s->next_serial++;
 	worker->speed = 1;
+	worker->record_may = RECORD_BIT(RECORD_NONE);
 	room_init(&worker->room, &none);
 	TAILQ_INIT(&worker->runs);
 	STAILQ_INIT(&worker->ends);
@@ -91,6 +92,7 @@
 		free(end);
 	}
 	RB_REMOVE(sched_worker_tree, &s->workers, worker);
+	free(worker->left_tasks);
 	free(worker);
 }
 
@@ -116,7 +118,7 @@
 	}
 	worker->draining = draining;
 	worker->leaves_ms = leaves_ms;
-	if (worker->record_wanted == RECORD_NONE)
+	if (worker->record_wanted == RECORD_NONE && !draining)
 		want_record(s, worker, RECORD_IN_USE);
 	sched_due(s, now_ms);
 }
@@ -130,26 +132,16 @@
 }
 
 void
-sched_worker_recorded(struct sched_worker *worker, enum worker_record record)
+sched_worker_recording(struct sched_worker *worker)
 {
-	worker->record = record;
+	worker->record_may |= RECORD_BIT(worker->record_wanted);
+	worker->told_empty = worker_is_empty(worker);
 }
 
 void
-sched_worker_inherit(struct sched_worker *worker, enum worker_record record,
-    int64_t left_ms, int64_t now_ms)
-{
-	worker->inherited = true;
-	worker->record = record;
-	worker->record_wanted = record;
-	if (record == RECORD_EXPIRING)
-		worker->expires_ms = now_ms + left_ms;
-}
-
-bool
-sched_worker_settled(const struct sched_worker *worker)
+sched_worker_recorded(struct sched_worker *worker, enum worker_record record)
 {
-	return worker->dead || worker->lapsed || worker->fenced;
+	worker->record_may = RECORD_BIT(record);
 }
 
 bool
@@ -238,21 +230,13 @@
 	    (int64_t)((double)s->opt.lease_ms * SLOW_CLOCK) + LAPSE_MARGIN_MS;
 }
 
-/* It has told this leader all that runs there, and that is nothing now. */
-static bool
-is_empty(const struct sched_worker *worker)
-{
-	return worker->fenced && worker->unneeded == 0 &&
-	    TAILQ_EMPTY(&worker->runs) && SLIST_EMPTY(&worker->strays);
-}
-
 int64_t
 sched_worker_left_ms(
     const struct sched *s, const struct sched_worker *worker, int64_t now_ms)
 {
 	int64_t left_ms;
 
-	if (worker->dead || worker->lapsed || is_empty(worker))
+	if (worker->dead || worker->lapsed || worker_is_empty(worker))
 		return 0;
 	left_ms = worker_lapses(s, worker) - now_ms;
 	return left_ms > 0 ? left_ms : 0;
@@ -287,11 +271,18 @@
 	drop_runs(s, worker, now_ms);
 }
 
-/* Its lease may be renewed, by a look or by a start. */
+/* The store surely has it as one whose lease may be renewed. */
 static bool
 may_renew(const struct sched_worker *worker)
 {
-	return worker->record == RECORD_IN_USE &&
+	return (worker->record_may & RECORD_BIT(RECORD_EXPIRING)) == 0 &&
+	    worker->record_wanted != RECORD_EXPIRING && worker->misses == 0;
+}
+
+static bool
+may_start(const struct sched_worker *worker)
+{
+	return worker->record_may == RECORD_BIT(RECORD_IN_USE) &&
 	    worker->record_wanted == RECORD_IN_USE && worker->misses == 0;
 }
 
@@ -299,7 +290,7 @@
 worker_usable(const struct sched_worker *worker, int64_t now_ms)
 {
 	if (!worker->listed || worker->draining || worker->dead ||
-	    !may_renew(worker) || !worker->fenced || worker->unneeded > 0 ||
+	    !may_start(worker) || !worker->fenced || worker->unneeded > 0 ||
 	    !SLIST_EMPTY(&worker->strays))
 		return false;
 	return worker->probe_ms <= now_ms;
@@ -409,7 +400,13 @@
 	if (worker->dead || worker->misses >= EXPIRE_MISSES)
 		want_record(s, worker, RECORD_EXPIRING);
 	else if (worker->heard_ms != 0 && worker->misses == 0)
-		want_record(s, worker, RECORD_IN_USE);
+		want_record(s, worker,
+		    worker->draining ? RECORD_CLOSED : RECORD_IN_USE);
+	if (worker->record_wanted != RECORD_IN_USE && !worker->told_empty &&
+	    worker_is_empty(worker)) {
+		worker->told_empty = true;
+		s->opt.actions->record(s, worker, s->opt.ctx);
+	}
 }
 
 static bool
@@ -419,7 +416,7 @@
 	    !STAILQ_EMPTY(&worker->ends))
 		return false;
 	return worker->dead || worker->lapsed ||
-	    (worker->misses >= EXPIRE_MISSES && is_empty(worker)) ||
+	    (worker->misses >= EXPIRE_MISSES && worker_is_empty(worker)) ||
 	    (worker->heard_ms != 0 && now_ms - worker->heard_ms > FORGET_MS);
 }
 
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -202,10 +202,11 @@
 /* What the store's record says of a worker, for a next leader. */
 enum worker_record {
 	RECORD_NONE, /* not named: no leader has used it */
-	RECORD_IN_USE, /* its lease may be renewed at any time */
-	RECORD_EXPIRING, /* no leader renews its lease any more */
-	RECORD_UNSURE /* a change is on its way */
+	RECORD_IN_USE, /* anything may be started there at any time */
+	RECORD_CLOSED, /* nothing is started there any more */
+	RECORD_EXPIRING /* nor is its lease renewed */
 };
+#define RECORD_BIT(record) (1U << (record))
 
 struct sched_worker {
 	RB_ENTRY(sched_worker) by_id;
@@ -229,10 +230,13 @@
 	struct sched_ends ends;
 	bool listed;
 	bool in_list; /* the caller's, while it reads the whole list */
-	enum worker_record record; /* as the store surely has it */
+	unsigned int record_may; /* bits: as the store may have it */
 	enum worker_record record_wanted;
-	bool inherited; /* an earlier leader may have used it */
-	int64_t expires_ms; /* by an earlier leader's word; 0: none */
+	bool told_empty; /* the record names no tasks of it */
+	enum worker_record inherited; /* as earlier leaders left it */
+	struct task_name *left_tasks; /* by their word; NULL: anything */
+	size_t nleft_tasks;
+	int64_t expires_ms; /* by their word; 0: not known */
 	bool draining;
 	int64_t leaves_ms; /* at the earliest, while it drains; 0: unknown */
 	bool fenced; /* has answered a look of this term */
@@ -397,8 +401,12 @@
 	int64_t place_ms; /* not again before, unless wanted */
 	int64_t place_gap_ms; /* not again before in any case */
 	bool deposed;
-	bool inherited_silent; /* a worker of a former term is silent */
-	bool former_silent; /* one that the last leader may have used */
+	/* Of workers that earlier leaders used and that haven't answered: */
+	uint32_t unsettled; /* their number */
+	bool any_left; /* any task may run on one */
+	bool former_left; /* the last leader may start tasks on one */
+	uint64_t *left; /* hashes of the tasks that may run there, sorted */
+	size_t nleft;
 	int64_t next_ms; /* when sched_act() is due at the latest */
 	uint64_t random;
 	struct press *press;
@@ -456,14 +464,24 @@
     const struct resources *, bool draining, int64_t leaves_ms, int64_t now_ms);
 void sched_worker_unlisted(
     struct sched *, struct sched_worker *, int64_t now_ms);
-/* What the store has now; RECORD_UNSURE while a change is on its way. */
+/* A write of record_wanted is on its way, */
+void sched_worker_recording(struct sched_worker *);
+/* and this is what the store has now. */
 void sched_worker_recorded(struct sched_worker *, enum worker_record);
-/*
- * An earlier leader's record names the worker.  With RECORD_EXPIRING all that
- * runs there has lapsed after left_ms.
- */
+
+/* What an earlier leader's record says of a worker. */
+struct sched_inherited {
+	enum worker_record record;
+	int64_t left_ms; /* RECORD_EXPIRING: all has lapsed after it */
+	bool tasks_known; /* only these may run there */
+	const struct task_name *tasks;
+	size_t ntasks;
+};
 void sched_worker_inherit(
-    struct sched_worker *, enum worker_record, int64_t left_ms, int64_t now_ms);
+    struct sched_worker *, const struct sched_inherited *, int64_t now_ms);
+/* What may run there, for the record; false: not known, so anything. */
+bool sched_worker_each_task(const struct sched_worker *,
+    void (*)(const struct task_name *, void *ctx), void *ctx);
 /* So long until all that runs there has surely lapsed; 0: it has. */
 int64_t sched_worker_left_ms(
     const struct sched *, const struct sched_worker *, int64_t now_ms);
--- a/entry/carrier.c
+++ b/entry/carrier.c
@@ -166,7 +166,7 @@
 read_order(const json_t *order, struct worker_order *to, struct task_name *task,
     const struct sched_worker *worker)
 {
-	carry_read_task(json_object_get(order, "task"), 0, task);
+	codec_read_task(json_object_get(order, "task"), 0, task);
 	to->worker = worker;
 	to->task = task;
 	to->attempt =
--- a/entry/carry.c
+++ b/entry/carry.c
@@ -179,9 +179,7 @@
 static void
 set_task(json_t *order, const struct worker_order *from)
 {
-	json_object_set_new(order, "task",
-	    json_pack("[siii]", from->task->job, (int)from->task->occurrence,
-		(int)from->task->step, (int)from->task->index));
+	json_object_set_new(order, "task", codec_task(from->task));
 	json_object_set_new(order, "attempt", json_integer(from->attempt));
 }
 
@@ -330,19 +328,6 @@
 	struct look_finished *finished;
 };
 
-void
-carry_read_task(const json_t *row, size_t at, struct task_name *task)
-{
-	const char *job;
-
-	job = json_string_value(json_array_get(row, at));
-	strlcpy(task->job, job != NULL ? job : "", sizeof(task->job));
-	task->occurrence =
-	    (uint32_t)json_integer_value(json_array_get(row, at + 1));
-	task->step = (uint32_t)json_integer_value(json_array_get(row, at + 2));
-	task->index = (uint32_t)json_integer_value(json_array_get(row, at + 3));
-}
-
 static const char *
 text_at(const json_t *row, size_t at)
 {
@@ -361,7 +346,7 @@
 
 	json_array_foreach(json_object_get(answer, "running"), i, row)
 	{
-		carry_read_task(row, 0, &running[i].task);
+		codec_read_task(row, 0, &running[i].task);
 		running[i].attempt =
 		    (uint32_t)json_integer_value(json_array_get(row, 4));
 		running[i].checkpoint = text_at(row, 5);
@@ -374,7 +359,7 @@
 	{
 		finished[i].number =
 		    (uint64_t)json_integer_value(json_array_get(row, 0));
-		carry_read_task(row, 1, &finished[i].task);
+		codec_read_task(row, 1, &finished[i].task);
 		finished[i].attempt =
 		    (uint32_t)json_integer_value(json_array_get(row, 5));
 		finished[i].how =
--- a/entry/carry.h
+++ b/entry/carry.h
@@ -36,9 +36,6 @@
 /* A member's answers arrived. */
 void carry_answered(struct carry *, const json_t *message);
 
-/* A task's name in a row of an order or an answer, from that column on. */
-void carry_read_task(const json_t *row, size_t at, struct task_name *);
-
 /* The member's side: orders of a leader arrived. */
 void carry_orders(struct node *, const json_t *message);
 /* Send the answers that came since the last call. */
--- a/entry/codec.c
+++ b/entry/codec.c
@@ -391,3 +391,23 @@
 	json_decref(object);
 	return found;
 }
+
+json_t *
+codec_task(const struct task_name *task)
+{
+	return json_pack("[siii]", task->job, (int)task->occurrence,
+	    (int)task->step, (int)task->index);
+}
+
+void
+codec_read_task(const json_t *row, size_t at, struct task_name *task)
+{
+	const char *job;
+
+	job = json_string_value(json_array_get(row, at));
+	strlcpy(task->job, job != NULL ? job : "", sizeof(task->job));
+	task->occurrence =
+	    (uint32_t)json_integer_value(json_array_get(row, at + 1));
+	task->step = (uint32_t)json_integer_value(json_array_get(row, at + 2));
+	task->index = (uint32_t)json_integer_value(json_array_get(row, at + 3));
+}
--- a/entry/codec.h
+++ b/entry/codec.h
@@ -3,6 +3,8 @@
 
 #include <stddef.h>
 
+#include <jansson.h>
+
 #include "graph.h"
 #include "scheduler.h"
 
@@ -11,6 +13,12 @@
  * between entries.  What an earlier version didn't write has its default.
  */
 
+/* A task's name as a row of so many fields; NULL: no memory. */
+#define CODEC_TASK_FIELDS 4
+json_t *codec_task(const struct task_name *);
+/* The same from that column of a row on. */
+void codec_read_task(const json_t *row, size_t at, struct task_name *);
+
 /* Freed by the caller; NULL: no memory, or text that isn't UTF-8. */
 char *codec_graph(const struct graph *, size_t *len);
 /* NULL: damaged, or no memory. */
--- a/entry/lead_record.c
+++ b/entry/lead_record.c
@@ -6,16 +6,18 @@
 #include "lead_int.h"
 
 /*
- * The record of workers: who may run something, and whose lease is left to
- * expire.  A next leader asks the former, and waits for the latter no longer
- * than the record says.  It is written whole, on condition of its own
- * revision and of the leader's record: so it is always as the last write that
- * was answered says, and a late one can't come after a newer one.
+ * The record of workers: who may run something, and what a next leader has to
+ * wait for.  It is written whole, on condition of its own revision and of the
+ * leader's record: so it is as the last write that was answered says, and a
+ * late one can't come after a newer one.
  *
- * A row is [id, address], or [id, address, left_ms, term] for a worker whose
- * lease nobody renews: all that runs there has lapsed left_ms after the write.
- * An earlier version of the program knows only the former kind, and renews
- * whom it will; so the word holds only if the last leader wrote it.
+ * A row is [id, address] for a worker in use.  It is [id, address, term,
+ * tasks] for one where nobody starts anything any more, with left_ms behind
+ * these if nobody renews its lease either: all there has lapsed left_ms after
+ * the write.  tasks is null where the leader doesn't know what runs there.
+ * An earlier version of the program knows rows of the first kind only, and
+ * starts and renews where it will; so the others hold only if the last leader
+ * wrote them.
  */
 
 #define RETRY_MS 100
@@ -48,10 +50,37 @@
 	l->record_dirty = true;
 }
 
+/* false: damaged. */
+static bool
+load_tasks(const json_t *list, struct sched_inherited *from)
+{
+	struct task_name *tasks;
+	const json_t *row;
+	size_t i;
+
+	from->tasks_known = json_is_array(list);
+	if (!from->tasks_known)
+		return json_is_null(list);
+	tasks = calloc(json_array_size(list) + 1, sizeof(*tasks));
+	if (tasks == NULL) {
+		from->tasks_known = false;
+		return true;
+	}
+	from->tasks = tasks;
+	from->ntasks = json_array_size(list);
+	json_array_foreach(list, i, row)
+	{
+		if (json_array_size(row) < CODEC_TASK_FIELDS)
+			return false;
+		codec_read_task(row, 0, &tasks[i]);
+	}
+	return true;
+}
+
 static void
 load_row(struct lead *l, const json_t *row, int64_t now_ms)
 {
-	enum worker_record record;
+	struct sched_inherited from;
 	struct sched_worker *worker;
 	const char *id, *address;
 	uint64_t term;
@@ -59,17 +88,23 @@
 	id = json_string_value(json_array_get(row, 0));
 	address = json_string_value(json_array_get(row, 1));
 	if (id == NULL || address == NULL ||
-	    (worker = sched_worker_get(l->sched, id)) == NULL)
-		return;
+	    (worker = sched_worker_get(l->sched, id)) == NULL) {
+		log_error("worker_record_row", "id=%s", id != NULL ? id : "-");
+		abort();
+	}
 	strlcpy(worker->address, address, sizeof(worker->address));
-	record = RECORD_IN_USE;
-	term = (uint64_t)json_integer_value(json_array_get(row, 3));
-	if (json_array_size(row) > 2 && term + 1 >= l->sched->opt.term) {
-		record = RECORD_EXPIRING;
+	memset(&from, 0, sizeof(from));
+	from.record = RECORD_IN_USE;
+	term = (uint64_t)json_integer_value(json_array_get(row, 2));
+	if (json_array_size(row) > 3 && term + 1 >= l->sched->opt.term &&
+	    load_tasks(json_array_get(row, 3), &from)) {
+		from.record =
+		    json_array_size(row) > 4 ? RECORD_EXPIRING : RECORD_CLOSED;
+		from.left_ms = json_integer_value(json_array_get(row, 4));
 		l->record_dirty = true;
 	}
-	sched_worker_inherit(
-	    worker, record, json_integer_value(json_array_get(row, 2)), now_ms);
+	sched_worker_inherit(worker, &from, now_ms);
+	free((void *)(uintptr_t)from.tasks);
 }
 
 void
@@ -123,18 +158,43 @@
 	free(write);
 }
 
+static void
+add_task(const struct task_name *task, void *ctx)
+{
+	json_array_append_new(ctx, codec_task(task));
+}
+
+static json_t *
+tasks_of(const struct sched_worker *worker)
+{
+	json_t *list;
+
+	list = json_array();
+	if (sched_worker_each_task(worker, add_task, list))
+		return list;
+	json_decref(list);
+	return json_null();
+}
+
 static json_t *
 row_of(struct lead *l, const struct sched_worker *worker, int64_t now_ms)
 {
 	int64_t left_ms;
+	json_t *row;
 
-	if (worker->record_wanted != RECORD_EXPIRING)
-		return json_pack("[ss]", worker->id, worker->address);
+	row = json_pack("[ss]", worker->id, worker->address);
+	if (worker->record_wanted == RECORD_IN_USE)
+		return row;
+	json_array_append_new(
+	    row, json_integer((json_int_t)l->sched->opt.term));
+	json_array_append_new(row, tasks_of(worker));
+	if (worker->record_wanted == RECORD_CLOSED)
+		return row;
 	left_ms = sched_worker_left_ms(l->sched, worker, now_ms);
 	if (left_ms > 0)
 		l->record_refresh = true;
-	return json_pack("[ssII]", worker->id, worker->address,
-	    (json_int_t)left_ms, (json_int_t)l->sched->opt.term);
+	json_array_append_new(row, json_integer((json_int_t)left_ms));
+	return row;
 }
 
 /* All rows as text, and which worker is in which state by them. */
@@ -155,24 +215,13 @@
 		row = &write->rows[write->n++];
 		strlcpy(row->id, worker->id, sizeof(row->id));
 		row->record = worker->record_wanted;
+		sched_worker_recording(worker);
 	}
 	text = json_dumps(list, JSON_COMPACT);
 	json_decref(list);
 	return text;
 }
 
-/* Until the answer comes nobody knows what the store has of these. */
-static void
-mark_unsure(struct lead *l)
-{
-	struct sched_worker *worker;
-
-	RB_FOREACH (worker, sched_worker_tree, &l->sched->workers) {
-		if (worker->record != worker->record_wanted)
-			sched_worker_recorded(worker, RECORD_UNSURE);
-	}
-}
-
 static void
 mark_stored(struct lead *l, const struct record_write *write)
 {
@@ -270,7 +319,6 @@
 		write_free(write);
 		return;
 	}
-	mark_unsure(l);
 	lead_record_send(l, write, text);
 	free(text);
 }
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -262,11 +262,14 @@
 		worker->deaf_from = 0;
 		At(now_ms + 6000, [worker] { worker->deaf_from = UINT64_MAX; });
 	}
-	for (const auto &[id, row] : recorded_)
+	for (const auto &[id, row] : recorded_) {
+		struct sched_inherited from = { row.record, row.left_ms,
+			row.tasks_known, row.tasks.data(), row.tasks.size() };
+		if (row.term + 1 < term_)
+			from.record = RECORD_IN_USE;
 		sched_worker_inherit(
-		    sched_worker_get(leader->sched, id.c_str()),
-		    row.term + 1 >= term_ ? row.record : RECORD_IN_USE,
-		    row.left_ms, now_ms);
+		    sched_worker_get(leader->sched, id.c_str()), &from, now_ms);
+	}
 	for (auto &[id, job] : jobs_) {
 		struct sched_job *loaded = sched_job_add(
 		    leader->sched, Graph(id), now_ms, true, now_ms);
@@ -566,6 +569,23 @@
 		SendRecord(leader, worker->id);
 }
 
+struct Recorded
+World::RowOf(Leader *leader, const struct sched_worker *worker) const
+{
+	struct Recorded row = { worker->record_wanted,
+		sched_worker_left_ms(leader->sched, worker, now_ms),
+		leader->term, false, {} };
+
+	row.tasks_known = sched_worker_each_task(
+	    worker,
+	    [](const struct task_name *task, void *ctx) {
+		    static_cast<std::vector<struct task_name> *>(ctx)
+			->push_back(*task);
+	    },
+	    &row.tasks);
+	return row;
+}
+
 // One write of a leader at a time, on condition that nobody leads later.
 void
 World::SendRecord(Leader *leader, const std::string &id)
@@ -578,12 +598,10 @@
 	    (worker = sched_worker_find(leader->sched, id.c_str())) == nullptr)
 		return;
 	leader->recording[id] = false;
-	row = { worker->record_wanted,
-		sched_worker_left_ms(leader->sched, worker, now_ms),
-		leader->term };
+	row = RowOf(leader, worker);
 	lost = Chance(faults_.unsaved);
 	done = !lost || Chance(0.5);
-	sched_worker_recorded(worker, RECORD_UNSURE);
+	sched_worker_recording(worker);
 	if (lax_ == Lax::EarlyRecord && row.record == RECORD_IN_USE &&
 	    recorded_.count(id)) {
 		sched_worker_recorded(worker, RECORD_IN_USE);
@@ -618,12 +636,9 @@
 		struct sched_worker *worker =
 		    sched_worker_find(leader->sched, id.c_str());
 		if (worker != nullptr && row.record == RECORD_EXPIRING &&
-		    worker->record == RECORD_EXPIRING &&
+		    worker->record_may == RECORD_BIT(RECORD_EXPIRING) &&
 		    worker->record_wanted == RECORD_EXPIRING)
-			row = { RECORD_EXPIRING,
-				sched_worker_left_ms(
-				    leader->sched, worker, now_ms),
-				leader->term };
+			row = RowOf(leader, worker);
 	}
 }
 
@@ -713,13 +728,11 @@
 	}
 }
 
-/* A worker dies with all it has, its list of ends included. */
+// A worker dies with all it has, its list of ends included; another life of
+// it comes.
 void
-World::Crash()
+World::Replace(Worker &worker)
 {
-	size_t i = random_() % workers_.size();
-	Worker &worker = *workers_[i];
-
 	if (!worker.alive)
 		return;
 	for (auto &[name, run] : worker.runs)
@@ -735,6 +748,23 @@
 	workers_.push_back(std::move(next));
 }
 
+void
+World::Crash()
+{
+	Replace(*workers_[random_() % workers_.size()]);
+}
+
+// A worker says that it leaves, and does so some time later.
+void
+World::Leave()
+{
+	Worker *worker = workers_[random_() % workers_.size()].get();
+
+	worker->draining = true;
+	At(now_ms + std::uniform_int_distribution<int64_t>(0, 3000)(random_),
+	    [this, worker] { Replace(*worker); });
+}
+
 void
 World::Tick()
 {
@@ -755,9 +785,11 @@
 			struct sched_worker *known =
 			    sched_worker_get(s, worker->id.c_str());
 			strlcpy(known->service, "s", sizeof(known->service));
-			if (worker->alive && !known->listed)
+			if (worker->alive &&
+			    (!known->listed ||
+				known->draining != worker->draining))
 				sched_worker_listed(s, known, &worker->capacity,
-				    false, 0, now_ms);
+				    worker->draining, 0, now_ms);
 			if (!worker->alive && known->listed)
 				sched_worker_unlisted(s, known, now_ms);
 		}
@@ -781,6 +813,8 @@
 		At(sometime(), [this] { TakeOver(); });
 	for (int i = 0; i < faults_.cuts; i++)
 		At(sometime(), [this] { Cut(); });
+	for (int i = 0; i < faults_.drains; i++)
+		At(sometime(), [this] { Leave(); });
 	for (int i = 0; i < faults_.crashes; i++)
 		At(sometime(), [this] { Crash(); });
 	for (int i = 0; i < faults_.cancels; i++)
--- a/tests/sched_world.h
+++ b/tests/sched_world.h
@@ -30,6 +30,7 @@
 	double failing = 0; // share of runs that fail
 	double silent = 0; // share of takeovers at which a worker is silent
 	int takeovers = 0;
+	int drains = 0; // workers leave, with a notice or, some, without
 	int cuts = 0; // a worker can't be reached for a while, and runs on
 	bool slow_clocks = false; // of workers, by up to 2 %
 	int64_t window_ms = 5000; // in which takeovers and the like happen
@@ -70,6 +71,7 @@
 	int place; // where it stands; lives follow each other there
 	struct resources capacity;
 	bool alive = true;
+	bool draining = false;
 	uint64_t deaf_from = UINT64_MAX; // to leaders of this term and later
 	uint64_t token = 0;
 	double slow = 0; // its clock, by this share
@@ -85,6 +87,8 @@
 	enum worker_record record;
 	int64_t left_ms;
 	uint64_t term;
+	bool tasks_known;
+	std::vector<struct task_name> tasks;
 };
 
 class World;
@@ -155,8 +159,11 @@
 	Worker *Find(const std::string &id);
 	void Crash();
 	void Cut();
+	void Leave();
+	void Replace(Worker &);
 	bool Reaches(const Leader *, const Worker *) const;
 	int64_t ClockOf(const Worker &) const;
+	struct Recorded RowOf(Leader *, const struct sched_worker *) const;
 	void SendRecord(Leader *, const std::string &worker);
 	void RefreshRecord(Leader *);
 	void CheckStart(
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -83,6 +83,22 @@
 		return w;
 	}
 
+	// The record of the last leader names the worker, and what may run
+	// there, if that is known.
+	struct sched_worker *
+	Inherit(const char *id, enum worker_record record, int64_t left_ms = 0,
+	    const std::vector<task_name> *tasks = nullptr)
+	{
+		struct sched_worker *w = sched_worker_get(s, id);
+		struct sched_inherited from = { record, left_ms,
+			tasks != nullptr,
+			tasks != nullptr ? tasks->data() : nullptr,
+			tasks != nullptr ? tasks->size() : 0 };
+
+		sched_worker_inherit(w, &from, now);
+		return w;
+	}
+
 	// The worker answers a look with these lists.
 	void
 	Answer(struct sched_worker *w,
@@ -385,8 +401,7 @@
 	int64_t begin = now;
 	Order foreign;
 
-	sched_worker_inherit(
-	    sched_worker_get(s, "half"), RECORD_IN_USE, 0, now);
+	Inherit("half", RECORD_IN_USE);
 	half = AddWorker("half", 4000);
 	other = AddWorker("other", 4000);
 	Add(Graph("a", 1, 1000), true);
@@ -419,10 +434,9 @@
 // for a whole lease counted from the beginning of this term.
 TEST_F(Sched, AnExpiringLeaseIsWaitedForNoLongerThanItLasts)
 {
-	struct sched_worker *silent = sched_worker_get(s, "silent");
+	struct sched_worker *silent = Inherit("silent", RECORD_EXPIRING, 1000);
 	int64_t begin = now;
 
-	sched_worker_inherit(silent, RECORD_EXPIRING, 1000, now);
 	AddWorker("other", 4000);
 	Add(Graph("a", 1, 1000), true);
 	sched_load_end(s, now);
@@ -447,14 +461,14 @@
 		now += 400;
 		sched_act(s, now);
 	}
-	EXPECT_EQ(w->record, RECORD_EXPIRING);
+	EXPECT_EQ(w->record_may, RECORD_BIT(RECORD_EXPIRING));
 	EXPECT_EQ(renewed, 0);
 	store_slow = true;
 	Answer(w);
 	now += 10;
 	sched_act(s, now);
 	EXPECT_EQ(w->record_wanted, RECORD_IN_USE);
-	sched_worker_recorded(w, RECORD_UNSURE);
+	sched_worker_recording(w);
 	Add(Graph("a", 1, 1000));
 	Answer(w);
 	now += 1000;
@@ -469,12 +483,68 @@
 	EXPECT_EQ(started.size(), 1u);
 }
 
+// Workers left one after the other, and leaders were replaced. Each task waits
+// for the worker that it may run on, and no other: with one wait for all, none
+// would start as long as workers go on leaving.
+TEST_F(Sched, EachTaskWaitsForItsOwnWorkerOnly)
+{
+	std::vector<task_name> first = { { "a", 0, 0, 0 } };
+	std::vector<task_name> second = { { "a", 0, 0, 1 } };
+
+	Inherit("gone", RECORD_EXPIRING, 500, &first);
+	Inherit("just-gone", RECORD_EXPIRING, 4000, &second);
+	AddWorker("other", 4000);
+	Add(Graph("a", 3, 1000), true);
+	sched_load_end(s, now);
+	OnlyOtherAnswers(450);
+	ASSERT_EQ(started.size(), 1u);
+	EXPECT_EQ(started[0].task.index, 2u);
+	OnlyOtherAnswers(200);
+	ASSERT_EQ(started.size(), 2u);
+	EXPECT_EQ(started[1].task.index, 0u);
+	OnlyOtherAnswers(3000);
+	EXPECT_EQ(started.size(), 2u);
+	OnlyOtherAnswers(600);
+	EXPECT_EQ(started.size(), 3u);
+}
+
+// A worker drains.  What may run there is written down before it leaves, and
+// its lease is renewed all the while.
+TEST_F(Sched, ADrainingWorkerIsClosedAndStillRenewed)
+{
+	struct sched_worker *w = AddWorker("w", 4000);
+	const struct resources capacity = { 4000, 64000, 0 };
+	std::vector<std::string> names;
+
+	Add(Graph("a", 2, 1000));
+	Fence();
+	AllStarted();
+	ASSERT_EQ(started.size(), 2u);
+	sched_worker_listed(s, w, &capacity, true, now + 4000, now);
+	sched_act(s, now);
+	EXPECT_EQ(w->record_may, RECORD_BIT(RECORD_CLOSED));
+	EXPECT_TRUE(sched_worker_each_task(
+	    w,
+	    [](const struct task_name *task, void *ctx) {
+		    static_cast<std::vector<std::string> *>(ctx)->push_back(
+			task->job);
+	    },
+	    &names));
+	EXPECT_EQ(names.size(), 2u);
+	renewed = 0;
+	Answer(w,
+	    { { started[0].task, started[0].attempt, "", 10, 0 },
+		{ started[1].task, started[1].attempt, "", 10, 0 } });
+	now += 1000;
+	sched_act(s, now);
+	EXPECT_GT(renewed, now);
+}
+
 // A worker that no earlier leader has used never answers: nothing of theirs
 // can run there, and tasks of earlier terms don't wait for it.
 TEST_F(Sched, AWorkerThatNobodyUsedHoldsNobodyUp)
 {
-	sched_worker_inherit(
-	    sched_worker_get(s, "other"), RECORD_IN_USE, 0, now);
+	Inherit("other", RECORD_IN_USE);
 	AddWorker("other", 4000);
 	AddWorker("new", 4000);
 	Add(Graph("a", 1, 1000), true);
@@ -488,8 +558,7 @@
 // that time waits until the worker has surely lapsed; a later one doesn't.
 TEST_F(Sched, AJobThatTheLastLeaderMayHaveStartedWaits)
 {
-	sched_worker_inherit(
-	    sched_worker_get(s, "silent"), RECORD_IN_USE, 0, now);
+	Inherit("silent", RECORD_IN_USE);
 	AddWorker("other", 8000);
 	sched_load_end(s, now);
 	Add(Graph("early", 1, 1000));
--- a/tests/test_sched_model.cc
+++ b/tests/test_sched_model.cc
@@ -163,6 +163,23 @@
 	ExpectKept(faults);
 }
 
+// Workers leave one after the other, some before the leader has noticed that
+// they drain, while it is replaced again and again and others are cut off.
+TEST(SchedModel, WorkersLeaveWhileLeadersFollowEachOther)
+{
+	Faults faults;
+
+	faults.takeovers = 12;
+	faults.drains = 16;
+	faults.cuts = 6;
+	faults.window_ms = 20000;
+	faults.unsaved = 0.2;
+	faults.lost = 0.05;
+	faults.slow_clocks = true;
+	faults.failing = 0.1;
+	ExpectKept(faults);
+}
+
 // Workers crash with all that runs there and come back as another life.
 TEST(SchedModel, CrashedWorkers)
 {
