Move tasks that last before their worker leaves

Cause: a task that lasts stayed on a worker that had said it leaves, ended with it, and was away until its lease had surely lapsed, 5.3 s and more.

Now it is stopped while the worker still answers and started elsewhere: no more of a step at a time than it bears, all of them when less than 2 s are left, and only where there is room for it.

--- a/core/sched.c
+++ b/core/sched.c
@@ -108,6 +108,7 @@
 		if (job->graph->repeats > 0)
 			job_open_due(s, job, now_ms);
 	}
+	leave_move(s, now_ms);
 	for (worker = RB_MIN(sched_worker_tree, &s->workers); worker != NULL;
 	     worker = next) {
 		next = RB_NEXT(sched_worker_tree, &s->workers, worker);
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -66,6 +66,12 @@
 
 /* sched_place.c */
 void place_waiting(struct sched *, int64_t now_ms);
+/* A worker would take the task now. */
+bool place_has_room(struct sched *, const struct sched_task *, int64_t now_ms);
+
+/* sched_leave.c */
+/* Stop what lasts on workers that leave, so that it goes on elsewhere. */
+void leave_move(struct sched *, int64_t now_ms);
 
 /* sched_rank.c */
 /* Higher goes first. */
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -209,6 +209,17 @@
 	return best;
 }
 
+bool
+place_has_room(struct sched *s, const struct sched_task *task, int64_t now_ms)
+{
+	struct placing p;
+
+	memset(&p, 0, sizeof(p));
+	p.s = s;
+	p.now_ms = now_ms;
+	return pick_worker(&p, task) != NULL;
+}
+
 static void
 send_start(struct sched *s, struct sched_run *run, int64_t now_ms)
 {
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -366,6 +366,7 @@
 	uint64_t lapsed;
 	uint64_t stops;
 	uint64_t paces;
+	uint64_t moves; /* of tasks that last, off workers that leave */
 	uint64_t stills; /* runs found without progress */
 };
 
@@ -400,6 +401,7 @@
 	bool place_wanted;
 	int64_t place_ms; /* not again before, unless wanted */
 	int64_t place_gap_ms; /* not again before in any case */
+	int64_t leave_ms; /* nothing is moved off workers that leave before */
 	bool deposed;
 	/* Of workers that earlier leaders used and that haven't answered: */
 	uint32_t unsettled; /* their number */
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -265,14 +265,16 @@
 	    "workers=%u usable=%u unsettled=%u cpu=%lld claimed=%lld "
 	    "fillers=%lld "
 	    "running=%u waiting=%u waiting_fillers=%u serving=%u late=%u "
-	    "paced=%u serving_use=%.2f starts=%llu looks=%llu stills=%llu",
+	    "paced=%u serving_use=%.2f starts=%llu looks=%llu stills=%llu "
+	    "moves=%llu",
 	    load.workers, load.usable, load.unsettled, (long long)load.cpu,
 	    (long long)load.claimed, (long long)load.fillers, load.running,
 	    load.waiting, load.waiting_fillers, load.serving, load.late,
 	    load.paced, l->sched->serving_use,
 	    (unsigned long long)l->sched->counts.starts,
 	    (unsigned long long)l->sched->counts.looks,
-	    (unsigned long long)l->sched->counts.stills);
+	    (unsigned long long)l->sched->counts.stills,
+	    (unsigned long long)l->sched->counts.moves);
 }
 
 static size_t
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -151,6 +151,17 @@
 			    o.attempt, ANSWER_OK, now, now);
 	}
 
+	// What was started, as a worker lists it.
+	std::vector<look_running>
+	AtWork() const
+	{
+		std::vector<look_running> rows;
+
+		for (auto &o : started)
+			rows.push_back({ o.task, o.attempt, "", 100, 0 });
+		return rows;
+	}
+
 	static look_finished
 	End(uint64_t number, const Order &o, enum look_end how)
 	{
@@ -540,6 +551,71 @@
 	EXPECT_GT(renewed, now);
 }
 
+// Tasks that last run on a worker that says it leaves.  Their callers would
+// find nobody for a lease after it went; so they are stopped while it still
+// answers and go on elsewhere, no more at a time than the step bears.
+TEST_F(Sched, LastingTasksMoveBeforeTheirWorkerLeaves)
+{
+	struct sched_worker *w = AddWorker("w", 4000);
+	const struct resources capacity = { 4000, 64000, 0 };
+	struct graph *g = Graph("a", 4, 1000);
+
+	g->steps[0].lasts = true;
+	g->steps[0].may_be_away = 2;
+	Add(g);
+	Fence();
+	AllStarted();
+	ASSERT_EQ(started.size(), 4u);
+	Answer(w, AtWork());
+	AddWorker("other", 16000);
+	Answer(sched_worker_find(s, "other"));
+	sched_worker_listed(s, w, &capacity, true, now + 4000, now);
+	now += 100;
+	sched_act(s, now);
+	EXPECT_EQ(stopped.size(), 2u);
+	now += 100;
+	sched_act(s, now);
+	EXPECT_EQ(stopped.size(), 2u);
+	// Their ends are listed: they start elsewhere.
+	for (auto &o : std::vector<Order>(stopped))
+		sched_stop_answered(
+		    s, w, &o.task, o.attempt, ANSWER_OK, now, now);
+	Answer(w, {},
+	    { End(1, stopped[0], END_STOPPED),
+		End(2, stopped[1], END_STOPPED) });
+	now += 100;
+	sched_act(s, now);
+	ASSERT_EQ(started.size(), 6u);
+	EXPECT_EQ(started[4].worker, "other");
+	// It leaves soon: the rest moves, however many are away.
+	now += 2500;
+	sched_act(s, now);
+	EXPECT_EQ(stopped.size(), 4u);
+}
+
+// There is no room elsewhere: a task that lasts stays until its worker goes.
+TEST_F(Sched, LastingTasksStayWithoutRoomElsewhere)
+{
+	struct sched_worker *w = AddWorker("w", 4000);
+	const struct resources capacity = { 4000, 64000, 0 };
+	struct graph *g = Graph("a", 2, 2000);
+
+	g->steps[0].lasts = true;
+	Add(g);
+	Fence();
+	AllStarted();
+	ASSERT_EQ(started.size(), 2u);
+	Answer(w, AtWork());
+	AddWorker("other", 1000);
+	Answer(sched_worker_find(s, "other"));
+	sched_worker_listed(s, w, &capacity, true, now + 4000, now);
+	for (int i = 0; i < 40; i++) {
+		now += 100;
+		sched_act(s, now);
+	}
+	EXPECT_TRUE(stopped.empty());
+}
+
 // A worker that no earlier leader has used never answers: nothing of theirs
 // can run there, and tasks of earlier terms don't wait for it.
 TEST_F(Sched, AWorkerThatNobodyUsedHoldsNobodyUp)
