--- a/core/sched_inherit.c
+++ b/core/sched_inherit.c
@@ -31,8 +31,9 @@
 	    reallocarray(NULL, from->ntasks + 1, sizeof(struct task_name));
 	if (worker->left_tasks == NULL)
 		return; /* not known: anything */
-	memcpy(worker->left_tasks, from->tasks,
-	    from->ntasks * sizeof(struct task_name));
+	if (from->ntasks > 0)
+		memcpy(worker->left_tasks, from->tasks,
+		    from->ntasks * sizeof(struct task_name));
 	worker->nleft_tasks = from->ntasks;
 }
 
--- a/entry/election.c
+++ b/entry/election.c
@@ -111,15 +111,16 @@
 	struct kv_txn txn;
 	struct kv_put put;
 	struct node *node;
+	json_t *record;
 	char *value;
 
 	node = ctx;
 	memset(&txn, 0, sizeof(txn));
-	value = json_dumps(
-	    json_pack("{ss ss sI sI}", "id", node->id, "address", node->address,
-		"incarnation", (json_int_t)node->incarnation, "term",
-		(json_int_t)term),
-	    JSON_COMPACT);
+	record = json_pack("{ss ss sI sI}", "id", node->id, "address",
+	    node->address, "incarnation", (json_int_t)node->incarnation, "term",
+	    (json_int_t)term);
+	value = json_dumps(record, JSON_COMPACT);
+	json_decref(record);
 	if (value == NULL) {
 		elect_taken(e, TAKE_REFUSED, 0, clock_now_ms());
 		return;
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -2,7 +2,6 @@
 #include <string.h>
 
 #include "clock.h"
-#include "counter.h"
 #include "log.h"
 #include "lead_int.h"
 
@@ -18,8 +17,6 @@
  * of a core makes about 400 calls a second, and a worker takes 3 to 5.
  */
 #define CARRY_WORKERS 100
-/* A job of an entry without the store is stored within so long, or not. */
-#define RELAY_MS 1200
 /* One line on the fleet's load so often. */
 #define LOAD_MS 1000
 /* A member that greeted so recently follows us; greetings come each 0.5 s. */
@@ -30,7 +27,6 @@
 #define STEP_MS 1
 
 static void on_timer(uv_timer_t *);
-static void check_frozen(struct lead *, int64_t);
 
 void
 lead_hold(struct lead *l)
@@ -195,28 +191,6 @@
 		uv_timer_start(&l->timer, on_timer, STEP_MS, 0);
 }
 
-static void
-on_timer(uv_timer_t *timer)
-{
-	int64_t now_ms, wait_ms;
-	struct lead *l;
-
-	l = timer->data;
-	if (l->closed || !l->ready)
-		return;
-	now_ms = clock_now_ms();
-	check_frozen(l, now_ms);
-	sched_act(l->sched, now_ms);
-	carry_flush(l->carry);
-	if (l->deposed)
-		return; /* the node's tick ends the lead */
-	save_tick(l, now_ms);
-	wait_ms = l->sched->next_ms - now_ms;
-	if (wait_ms < STEP_MS)
-		wait_ms = STEP_MS;
-	uv_timer_start(&l->timer, on_timer, (uint64_t)wait_ms, 0);
-}
-
 /* Greetings that were under way while we were stopped tell nothing. */
 static bool
 just_woke(const struct lead *l, int64_t now_ms)
@@ -256,6 +230,28 @@
 	l->sched->frozen = l->sched->store_away && !all_follow(l, now_ms);
 }
 
+static void
+on_timer(uv_timer_t *timer)
+{
+	int64_t now_ms, wait_ms;
+	struct lead *l;
+
+	l = timer->data;
+	if (l->closed || !l->ready)
+		return;
+	now_ms = clock_now_ms();
+	check_frozen(l, now_ms);
+	sched_act(l->sched, now_ms);
+	carry_flush(l->carry);
+	if (l->deposed)
+		return; /* the node's tick ends the lead */
+	save_tick(l, now_ms);
+	wait_ms = l->sched->next_ms - now_ms;
+	if (wait_ms < STEP_MS)
+		wait_ms = STEP_MS;
+	uv_timer_start(&l->timer, on_timer, (uint64_t)wait_ms, 0);
+}
+
 static void
 log_load(struct lead *l, int64_t now_ms)
 {
@@ -440,313 +436,3 @@
 	    job->queue->name, (long long)age_ms, graph->nsteps);
 	return job;
 }
-
-/* A job, not the mark that there is none. */
-static struct sched_job *
-known_job(struct lead *l, const char *id)
-{
-	struct sched_job *job;
-
-	job = sched_job_find(l->sched, id);
-	return job != NULL && job->absent ? NULL : job;
-}
-
-/* Requests. */
-
-struct lookup {
-	struct lead *lead;
-	enum ask_kind kind;
-	char job[GRAPH_ID_MAX];
-	uint64_t number;
-	char from[ELECT_ID_MAX];
-	bool worker_asks; /* a worker names the job */
-	lead_answered *answered;
-	void *ctx;
-};
-
-static void
-answer(const struct lookup *lookup, enum node_outcome outcome,
-    enum sched_job_state state)
-{
-	struct node_reply reply;
-
-	memset(&reply, 0, sizeof(reply));
-	reply.outcome = outcome;
-	reply.state = state;
-	reply.reason = "leader";
-	lookup->answered(&reply, lookup->number, lookup->from, lookup->ctx);
-}
-
-/* Answer once the store has the job as it is now. */
-static void
-answer_saved(const struct lookup *lookup, const struct sched_job *job)
-{
-	struct waiter *waiter;
-
-	if (job->saved >= job->change) {
-		answer(lookup, NODE_CANCELLED, job->state);
-		return;
-	}
-	if ((waiter = calloc(1, sizeof(*waiter))) == NULL)
-		return; /* asked again */
-	strlcpy(waiter->job, job->id, sizeof(waiter->job));
-	waiter->change = job->change;
-	waiter->reply.outcome = NODE_CANCELLED;
-	waiter->reply.state = job->state;
-	waiter->reply.reason = "leader";
-	waiter->number = lookup->number;
-	strlcpy(waiter->from, lookup->from, sizeof(waiter->from));
-	waiter->answered = lookup->answered;
-	waiter->ctx = lookup->ctx;
-	TAILQ_INSERT_TAIL(&lookup->lead->waiters, waiter, link);
-}
-
-static void
-answer_known(const struct lookup *lookup, struct sched_job *job)
-{
-	struct lead *l;
-
-	l = lookup->lead;
-	if (lookup->kind == ASK_STATE) {
-		answer(lookup, NODE_STATE, sched_job_shown(job));
-		return;
-	}
-	if (lookup->kind == ASK_JOB) {
-		answer(lookup, NODE_ACCEPTED, job->state);
-		return;
-	}
-	if (!job->in_ended)
-		log_info("job_cancelled", "job=%s", job->id);
-	sched_job_cancel(l->sched, job, clock_now_ms());
-	answer_saved(lookup, job);
-	lead_kick(l);
-}
-
-static void
-forget_unknown(struct lead *l, const char *id)
-{
-	struct unknown_job *unknown;
-
-	LIST_FOREACH (unknown, &l->unknowns, link) {
-		if (strcmp(unknown->id, id) == 0) {
-			LIST_REMOVE(unknown, link);
-			free(unknown);
-			return;
-		}
-	}
-}
-
-static void
-lookup_end(struct lookup *lookup)
-{
-	if (lookup->worker_asks && !lookup->lead->closed)
-		forget_unknown(lookup->lead, lookup->job);
-	lead_let_go(lookup->lead);
-	free(lookup);
-}
-
-static void
-on_ended_read(const struct kv_result *result, void *ctx)
-{
-	enum sched_job_state state;
-	struct lookup *lookup;
-	struct sched_job *job;
-	struct lead *l;
-
-	lookup = ctx;
-	l = lookup->lead;
-	/* Without an answer the entry asks again. */
-	if (l->closed || result->error != KV_OK)
-		goto out;
-	if (result->nitems == 0) {
-		if (lookup->worker_asks &&
-		    sched_job_find(l->sched, lookup->job) == NULL)
-			sched_job_add_absent(
-			    l->sched, lookup->job, clock_now_ms());
-		answer(lookup, NODE_UNKNOWN_JOB, JOB_QUEUED);
-		goto out;
-	}
-	if (codec_read_ended(
-		result->items[0].value, result->items[0].len, &state) == -1) {
-		log_error("ended_damaged", "job=%s", lookup->job);
-		goto out;
-	}
-	job = known_job(l, lookup->job);
-	if (job == NULL)
-		job = sched_job_add_ended(
-		    l->sched, lookup->job, state, clock_now_ms());
-	if (job != NULL)
-		answer_known(lookup, job);
-out:
-	lookup_end(lookup);
-}
-
-static void
-on_job_read(const struct kv_result *result, void *ctx)
-{
-	struct lookup *lookup;
-	struct sched_job *job;
-	char key[KEY_MAX];
-	struct lead *l;
-
-	lookup = ctx;
-	l = lookup->lead;
-	if (l->closed || result->error != KV_OK) {
-		lookup_end(lookup);
-		return;
-	}
-	job = known_job(l, lookup->job);
-	if (job == NULL && result->nitems > 0)
-		job = lead_add_item(l, &result->items[0], false);
-	if (job != NULL) {
-		answer_known(lookup, job);
-		lead_kick(l);
-		lookup_end(lookup);
-		return;
-	}
-	snprintf(key, sizeof(key), KEY_ENDED "%s", lookup->job);
-	l->node->opt.kv.get(l->node->opt.kv.self, key, on_ended_read, lookup);
-}
-
-/* Unknown here may mean just accepted elsewhere: the store knows. */
-static void
-look_up(struct lookup *lookup)
-{
-	char key[KEY_MAX];
-	struct lead *l;
-
-	l = lookup->lead;
-	lead_hold(l);
-	snprintf(key, sizeof(key), KEY_JOB "%s", lookup->job);
-	l->node->opt.kv.get(l->node->opt.kv.self, key, on_job_read, lookup);
-}
-
-/* A job that another entry can't store itself. */
-struct relay {
-	struct lead *lead;
-	uint64_t number;
-	char from[ELECT_ID_MAX];
-	lead_answered *answered;
-	void *ctx;
-};
-
-static void
-on_relayed(const struct node_reply *reply, void *ctx)
-{
-	struct relay *relay;
-
-	relay = ctx;
-	if (!relay->lead->closed)
-		relay->answered(reply, relay->number, relay->from, relay->ctx);
-	lead_let_go(relay->lead);
-	free(relay);
-}
-
-static void
-store_for(struct lead *l, const char *id, const struct stored_job *stored,
-    uint64_t number, const char *from, lead_answered *answered, void *ctx)
-{
-	struct relay *relay;
-
-	if (stored == NULL || stored->text == NULL ||
-	    (relay = calloc(1, sizeof(*relay))) == NULL)
-		return; /* asked again */
-	relay->lead = l;
-	relay->number = number;
-	strlcpy(relay->from, from, sizeof(relay->from));
-	relay->answered = answered;
-	relay->ctx = ctx;
-	lead_hold(l);
-	accept_text(l->node->accept, id, stored->text, stored->len,
-	    clock_now_ms() + RELAY_MS, on_relayed, relay);
-}
-
-/*
- * A job stored after our term began can't have ended under a former leader,
- * whose writes fail since then; so its text may be taken as it comes.  One
- * stored earlier that we don't know has ended: the store says how.
- */
-static bool
-is_new(const struct lead *l, const struct stored_job *stored)
-{
-	return stored != NULL && stored->text != NULL &&
-	    stored->revision > l->node->elect.leader.revision;
-}
-
-static void
-on_unknown_answered(const struct node_reply *reply, uint64_t number,
-    const char *from, void *ctx)
-{
-	(void)reply;
-	(void)number;
-	(void)from;
-	(void)ctx;
-}
-
-void
-lead_unknown(struct sched *s, const char *id, void *ctx)
-{
-	struct unknown_job *unknown;
-	struct lookup *lookup;
-	struct lead *l;
-
-	(void)s;
-	l = ctx;
-	LIST_FOREACH (unknown, &l->unknowns, link) {
-		if (strcmp(unknown->id, id) == 0)
-			return;
-	}
-	unknown = calloc(1, sizeof(*unknown));
-	lookup = calloc(1, sizeof(*lookup));
-	if (unknown == NULL || lookup == NULL) {
-		free(unknown);
-		free(lookup);
-		return; /* asked again with the worker's next answer */
-	}
-	log_info("job_unknown", "job=%s", id);
-	strlcpy(unknown->id, id, sizeof(unknown->id));
-	LIST_INSERT_HEAD(&l->unknowns, unknown, link);
-	lookup->lead = l;
-	lookup->kind = ASK_STATE;
-	strlcpy(lookup->job, id, sizeof(lookup->job));
-	lookup->worker_asks = true;
-	lookup->answered = on_unknown_answered;
-	look_up(lookup);
-}
-
-void
-lead_request(struct lead *l, enum ask_kind kind, const char *id,
-    const struct stored_job *stored, uint64_t number, const char *from,
-    lead_answered *answered, void *ctx)
-{
-	struct lookup *lookup, local;
-	struct sched_job *job;
-
-	if (!l->ready)
-		return; /* asked again in a moment */
-	if (kind == ASK_STORE) {
-		store_for(l, id, stored, number, from, answered, ctx);
-		return;
-	}
-	memset(&local, 0, sizeof(local));
-	local.lead = l;
-	local.kind = kind;
-	strlcpy(local.job, id, sizeof(local.job));
-	local.number = number;
-	strlcpy(local.from, from, sizeof(local.from));
-	local.answered = answered;
-	local.ctx = ctx;
-	job = known_job(l, id);
-	if (job == NULL && kind == ASK_JOB && is_new(l, stored)) {
-		job = lead_add_job(l, stored, false);
-		lead_kick(l);
-	}
-	if (job != NULL) {
-		answer_known(&local, job);
-		return;
-	}
-	if ((lookup = malloc(sizeof(*lookup))) == NULL)
-		return;
-	*lookup = local;
-	look_up(lookup);
-}
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -109,6 +109,8 @@
 struct sched_job *lead_add_item(
     struct lead *, const struct kv_item *, bool inherited);
 void lead_kick(struct lead *);
+
+/* lead_request.c */
 /* A worker names a job that isn't known: ask the store. */
 void lead_unknown(struct sched *, const char *id, void *ctx);
 
