--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -250,4 +250,212 @@
 	int64_t renewed = 0; // by the last look, on the worker's clock; 0: not
 };
 
+// The same with workers that carry orders out, on a clock that the test moves.
+// Looks are answered at once, and ends stay listed until acknowledged.
+class SchedPlay : public Sched {
+      protected:
+	struct Running {
+		Order order;
+		int64_t begun_ms;
+	};
+	struct Ended {
+		uint64_t number;
+		Order order;
+		enum look_end how;
+	};
+	struct Machine {
+		bool reachable = true;
+		bool hears_stops = true; // else they are lost on the way
+		bool still = false; // its tasks make no progress
+		int slow = 1; // tasks take so many times as long
+		int tail_ms = 0; // of serving tasks
+		enum worker_answer to_start = ANSWER_OK;
+		int64_t late_ms = 0; // lost starts are carried out then
+		uint64_t last_end = 0;
+		std::vector<Running> running, late;
+		std::vector<Ended> ended;
+	};
+
+	struct sched_worker *
+	Join(const char *id, int64_t cpu)
+	{
+		at[id];
+		return AddWorker(id, cpu);
+	}
+
+	void
+	ListAsDraining(const char *id, int64_t cpu)
+	{
+		const struct resources capacity = { cpu, 64000, 0 };
+
+		sched_worker_listed(s, sched_worker_find(s, id), &capacity,
+		    true, now + 10000, now);
+	}
+
+	// All that goes on in so many milliseconds.
+	void
+	Play(int64_t for_ms)
+	{
+		for (int64_t end = now + for_ms; now < end;) {
+			now += 50;
+			for (auto &m : at)
+				Advance(m.second);
+			sched_act(s, now);
+			struct sched_job *job;
+			while ((job = sched_next_dirty(s)) != nullptr)
+				sched_saved(s, job, job->change, now);
+			while (starts_done < started.size())
+				CarryOutStart(started[starts_done++]);
+			while (stops_done < stopped.size())
+				CarryOutStop(stopped[stops_done++]);
+			while (paces_done < paced.size()) {
+				const Order o = paced[paces_done++].first;
+				sched_pace_answered(s, Find(o), &o.task,
+				    o.attempt, ANSWER_OK, now);
+			}
+			for (auto &id : std::vector<std::string>(looked))
+				AnswerLook(id);
+			looked.clear();
+		}
+	}
+
+	// Stops sent for a task since the given number of stops.
+	size_t
+	StopsOf(const Order &o, size_t since = 0) const
+	{
+		size_t n = 0;
+
+		for (size_t i = since; i < stopped.size(); i++)
+			if (stopped[i].worker == o.worker &&
+			    Same(stopped[i], o))
+				n++;
+		return n;
+	}
+
+	size_t
+	RunningAnywhere() const
+	{
+		size_t n = 0;
+
+		for (auto &m : at)
+			n += m.second.running.size();
+		return n;
+	}
+
+	static bool
+	Same(const Order &a, const Order &b)
+	{
+		return strcmp(a.task.job, b.task.job) == 0 &&
+		    a.task.occurrence == b.task.occurrence &&
+		    a.task.step == b.task.step &&
+		    a.task.index == b.task.index && a.attempt == b.attempt;
+	}
+
+	void
+	EndRun(Machine &m, size_t i, enum look_end how)
+	{
+		m.ended.push_back({ ++m.last_end, m.running[i].order, how });
+		m.running.erase(m.running.begin() + static_cast<long>(i));
+	}
+
+	std::map<std::string, Machine> at;
+	std::map<std::string, int64_t> run_ms; // by job; else without end
+	std::vector<int64_t> start_times; // of started
+
+      private:
+	struct sched_worker *
+	Find(const Order &o)
+	{
+		return sched_worker_find(s, o.worker.c_str());
+	}
+
+	void
+	Advance(Machine &m)
+	{
+		for (size_t i = m.late.size(); i-- > 0;) {
+			if (m.late[i].begun_ms > now)
+				continue;
+			m.running.push_back(m.late[i]);
+			m.late.erase(m.late.begin() + static_cast<long>(i));
+		}
+		for (size_t i = m.running.size(); i-- > 0;) {
+			auto length = run_ms.find(m.running[i].order.task.job);
+			if (!m.still && length != run_ms.end() &&
+			    now - m.running[i].begun_ms >=
+				length->second * m.slow)
+				EndRun(m, i, END_DONE);
+		}
+	}
+
+	void
+	CarryOutStart(const Order &o)
+	{
+		Machine &m = at[o.worker];
+		enum worker_answer answer =
+		    m.reachable ? m.to_start : ANSWER_LOST;
+
+		start_times.push_back(now);
+		if (answer == ANSWER_OK)
+			m.running.push_back({ o, now });
+		else if (answer == ANSWER_LOST && m.late_ms > 0)
+			m.late.push_back({ o, now + m.late_ms });
+		sched_start_answered(
+		    s, Find(o), &o.task, o.attempt, answer, now, now);
+	}
+
+	void
+	CarryOutStop(const Order &o)
+	{
+		Machine &m = at[o.worker];
+		bool heard = m.reachable && m.hears_stops;
+
+		for (size_t i = m.running.size(); heard && i-- > 0;)
+			if (Same(m.running[i].order, o))
+				EndRun(m, i, END_STOPPED);
+		for (size_t i = m.late.size(); heard && i-- > 0;)
+			if (Same(m.late[i].order, o))
+				m.late.erase(
+				    m.late.begin() + static_cast<long>(i));
+		sched_stop_answered(s, Find(o), &o.task, o.attempt,
+		    heard ? ANSWER_OK : ANSWER_LOST, now, now);
+	}
+
+	int
+	Percent(const Machine &m, const Running &r) const
+	{
+		auto length = run_ms.find(r.order.task.job);
+
+		if (length == run_ms.end())
+			return 100;
+		return m.still ? 40 :
+				 static_cast<int>((now - r.begun_ms) * 100 /
+				     (length->second * m.slow));
+	}
+
+	void
+	AnswerLook(const std::string &id)
+	{
+		struct sched_worker *w = sched_worker_find(s, id.c_str());
+		std::vector<look_running> rows;
+		std::vector<look_finished> ends;
+		Machine &m = at[id];
+
+		if (w == nullptr)
+			return;
+		if (!m.reachable) {
+			sched_look_answered(s, w, ANSWER_LOST, nullptr, now);
+			return;
+		}
+		for (auto &r : m.running)
+			rows.push_back({ r.order.task, r.order.attempt, "",
+			    Percent(m, r), m.tail_ms });
+		for (auto &e : m.ended)
+			if (e.number > w->acknowledged)
+				ends.push_back(End(e.number, e.order, e.how));
+		Answer(w, rows, ends);
+	}
+
+	size_t starts_done = 0, stops_done = 0, paces_done = 0;
+};
+
 #endif /* SCHED_FIXTURE_H */
