--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -449,9 +449,11 @@
 		for (auto &r : m.running)
 			rows.push_back({ r.order.task, r.order.attempt, "",
 			    Percent(m, r), m.tail_ms });
+		while (!m.ended.empty() &&
+		    m.ended.front().number <= w->acknowledged)
+			m.ended.erase(m.ended.begin());
 		for (auto &e : m.ended)
-			if (e.number > w->acknowledged)
-				ends.push_back(End(e.number, e.order, e.how));
+			ends.push_back(End(e.number, e.order, e.how));
 		Answer(w, rows, ends);
 	}
 
