Test that lists of unneeded runs are asked for without waiting

A look that waits a second for an end delays the next order to stop. The test sees it in how long the look may wait. Ruled out: to count the stops in time, as the played workers answer each look at once.

--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -201,8 +201,9 @@
 	}
 	static void
 	OnLook(struct sched *, struct sched_worker *w, int64_t deadline,
-	    int64_t, void *ctx)
+	    int64_t wait, void *ctx)
 	{
+		Self(ctx)->waits[w->id] = wait;
 		Self(ctx)->looked.push_back(w->id);
 		Self(ctx)->renewed = deadline;
 	}
@@ -246,6 +247,7 @@
 	std::vector<Order> started, stopped;
 	std::vector<std::pair<Order, int>> paced;
 	std::vector<std::string> looked, unknown;
+	std::map<std::string, int64_t> waits; // of the last look at each
 	bool deposed = false, store_slow = false;
 	int64_t renewed = 0; // by the last look, on the worker's clock; 0: not
 };
--- a/tests/test_sched_cancel.cc
+++ b/tests/test_sched_cancel.cc
@@ -166,6 +166,11 @@
 	EXPECT_EQ(unknown[0], "a");
 	EXPECT_TRUE(stopped.empty());
 	sched_job_add_ended(s, "a", JOB_CANCELLED, now);
+	at["w1"].hears_stops = false;
+	Play(500);
+	// A look that waits for an end would hold the next stop back.
+	EXPECT_EQ(waits["w1"], 0);
+	EXPECT_GT(waits["w2"], 0);
 	ToldToStopUntilGone("w1");
 	EXPECT_TRUE(started.empty());
 }
