Show that an end told again may complete a repeated job too early (fails)

Saved progress names whole occurrences, without their tasks. A worker that tells the next leader of the last end of such an occurrence again makes task_done() count the occurrence a second time: the job is shown as completed and its last time is never run. The test fails for that; it isn't eased. Ruled out: the played worker, which tells an end again only if it wasn't acknowledged, as a real one does.

--- a/tests/test_sched_due.cc
+++ b/tests/test_sched_due.cc
@@ -141,3 +141,25 @@
 	Play(2000);
 	StartedInTime(2);
 }
+
+// The end of the first time was saved, but the leader was replaced before the
+// worker was told so: the worker tells the next leader of it again.  That end
+// counts once, so the last time is still run and the job isn't complete before.
+TEST_F(Due, AnEndToldAgainToTheNextLeaderCountsOnce)
+{
+	Lead(1);
+	Join("w1", 8000);
+	Add(Repeated(3));
+	run_ms["a"] = 400;
+	Play(2600);
+	StartedInTime(1);
+	at["w1"].ended.push_back({ 1, started[0], END_DONE });
+	struct sched_job *job = TakeOver(2, 3, 1);
+	Play(200);
+	EXPECT_EQ(job->occurrences_done, 1u);
+	Play(1400);
+	EXPECT_NE(job->state, JOB_COMPLETED);
+	Play(1000);
+	StartedInTime(3);
+	EXPECT_EQ(job->state, JOB_COMPLETED);
+}
