Show that a lost start leaves the rest of a gang running (fails)

The member whose start got no answer is told to stop, the others aren't: they run alone until their worker gives them up. A refused member stops the others. The test fails for that. Tried by hand: with start_lost() stopping the gang as start_failed() does, it passes.

--- a/tests/test_sched_gang.cc
+++ b/tests/test_sched_gang.cc
@@ -118,3 +118,23 @@
 	RunsWholeAbove(first);
 	EXPECT_TRUE(at["w2"].running.empty());
 }
+
+// The start of one member gets no answer and isn't carried out; the other two
+// run.  The lost one is settled by a stop, since it might begin late.  The
+// others wait for it in vain, so they are stopped as well, and the gang starts
+// again whole, under one higher attempt.
+TEST_F(Gang, OneLostMemberStopsTheOthers)
+{
+	StartOnThree();
+	at["w2"].to_start = ANSWER_LOST;
+	for (int i = 0; i < 20 && started.empty(); i++)
+		Play(50);
+	ASSERT_EQ(started.size(), 3u);
+	uint32_t first = started[0].attempt;
+	at["w2"].to_start = ANSWER_OK;
+	Play(1000);
+	OthersAreStopped(first);
+	Play(2000);
+	RunsWholeAbove(first);
+	WasStartedWholeEachTime();
+}
