Show that members of a gang resume from different points (fails)

The platform takes a checkpoint of any member for the whole gang, and all must carry the same one. Each member keeps and is given its own. The test fails for that; no mend was tried.

--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -183,6 +183,9 @@
 		sched_task_name(run->task, &o.task);
 		o.attempt = run->attempt;
 		Self(ctx)->started.push_back(o);
+		Self(ctx)->resumed_from.push_back(
+		    run->task->checkpoint != nullptr ? run->task->checkpoint :
+						       "");
 	}
 	static void
 	OnStop(struct sched *, struct sched_worker *w,
@@ -247,6 +250,7 @@
 	std::vector<Order> started, stopped;
 	std::vector<std::pair<Order, int>> paced;
 	std::vector<std::string> looked, unknown;
+	std::vector<std::string> resumed_from; // by each of started
 	std::map<std::string, int64_t> waits; // of the last look at each
 	bool deposed = false, store_slow = false;
 	int64_t renewed = 0; // by the last look, on the worker's clock; 0: not
--- a/tests/test_sched_gang.cc
+++ b/tests/test_sched_gang.cc
@@ -138,3 +138,28 @@
 	RunsWholeAbove(first);
 	WasStartedWholeEachTime();
 }
+
+// Three members have saved at different points when one of them breaks off and
+// the gang ends.  The next attempt resumes from one of these points, the same
+// for all members, as the work of each is only worth something with that of
+// the others.
+TEST_F(Gang, AllMembersResumeFromTheSamePoint)
+{
+	StartOnThree();
+	Play(500);
+	ASSERT_EQ(started.size(), 3u);
+	for (size_t i = 0; i < 3; i++) {
+		Order o = started[i];
+		look_finished end = End(1, o, END_BROKEN);
+		std::string point = "point-" + std::to_string(i);
+
+		end.checkpoint = point.c_str();
+		at[o.worker].running.clear();
+		Answer(sched_worker_find(s, o.worker.c_str()), {}, { end });
+	}
+	sched_act(s, now += 10);
+	ASSERT_EQ(started.size(), 6u);
+	EXPECT_NE(resumed_from[3], "");
+	EXPECT_EQ(resumed_from[4], resumed_from[3]);
+	EXPECT_EQ(resumed_from[5], resumed_from[3]);
+}
