Mend three faults of gangs and repeated jobs that tests showed

- An end of a repeated job told to the next leader again counted its occurrence a second time, and the job was complete before its last one ran: the tasks of an occurrence that was saved as done now begin as done (Due.AnEndToldAgainToTheNextLeaderCountsOnce).
- A lost start of one member left the others of its gang waiting for it (Gang.OneLostMemberStopsTheOthers).
- Members of a gang resumed from different points (Gang.AllMembersResumeFromTheSamePoint). start_refused() stopped the gang's others and start_failed() did so again; once is enough.

--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -52,8 +52,6 @@
 
 	task = run->task;
 	s->counts.refused_starts++;
-	if (task->step->spec->gang)
-		run_stop_others(s, task, run);
 	run_settle(s, run);
 	run_requeue(s, task, now_ms + retry_ms, now_ms);
 }
@@ -91,6 +89,9 @@
 	 * answered makes the worker refuse that attempt from then on.
 	 */
 	run_want_stop(s, run);
+	/* The others of its gang would wait for it in vain. */
+	if (run->task->step->spec->gang)
+		stop_gang(s, run->task->step);
 }
 
 void
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -254,7 +254,11 @@
 	return occurrence;
 }
 
-/* The step's tasks, made when first needed. */
+/*
+ * The step's tasks, made when first needed.  Of an occurrence that a former
+ * leader saw done only that is saved: told of an end in it again, we would
+ * count the occurrence twice and end the job before its last one has run.
+ */
 static struct sched_task *
 step_tasks(struct sched_step *step)
 {
@@ -268,6 +272,8 @@
 	for (i = 0; i < step->spec->count; i++) {
 		step->tasks[i].step = step;
 		step->tasks[i].index = i;
+		if (step->occurrence->done)
+			step->tasks[i].state = SCHED_DONE;
 		TAILQ_INIT(&step->tasks[i].runs);
 	}
 	return step->tasks;
@@ -418,14 +424,13 @@
 	task->state = state;
 }
 
-void
-task_keep_checkpoint(struct sched_task *task, const char *checkpoint)
+static void
+keep_checkpoint(struct sched_task *task, const char *checkpoint)
 {
 	char *copy;
 
-	if (checkpoint[0] == '\0' ||
-	    (task->checkpoint != NULL &&
-		strcmp(task->checkpoint, checkpoint) == 0))
+	if (task->checkpoint != NULL &&
+	    strcmp(task->checkpoint, checkpoint) == 0)
 		return;
 	/* Without memory the older one stays: more is done again, no more. */
 	if ((copy = strdup(checkpoint)) == NULL)
@@ -434,6 +439,24 @@
 	task->checkpoint = copy;
 }
 
+/* That of any member holds for its gang, which resumes from one point. */
+void
+task_keep_checkpoint(struct sched_task *task, const char *checkpoint)
+{
+	struct sched_step *step;
+	uint32_t i;
+
+	if (checkpoint[0] == '\0')
+		return;
+	step = task->step;
+	if (!step->spec->gang) {
+		keep_checkpoint(task, checkpoint);
+		return;
+	}
+	for (i = 0; i < step->spec->count; i++)
+		keep_checkpoint(&step->tasks[i], checkpoint);
+}
+
 void
 task_done(struct sched *s, struct sched_task *task, int64_t now_ms)
 {
