Share the fixture of test_handover through a header

For tests of what else a leader does with the store. Its ranges now come in pages of a settable size and heed where they go on; how often each prefix is read is counted; the keep time can be set; and a test may see writes that only remove, refuse them or lose their answers. No test of test_handover is changed.

--- /dev/null
+++ b/tests/handover_fixture.h
@@ -0,0 +1,686 @@
+#ifndef HANDOVER_FIXTURE_H
+#define HANDOVER_FIXTURE_H
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "clock.h"
+#include "node.h"
+}
+
+constexpr int64_t kStep = 50, kWay = 5, kOrderTimeout = 400;
+constexpr int64_t kLease = 5000, kSlowClock = 2; // per cent
+
+struct Item {
+	std::string value;
+	int64_t revision;
+};
+
+struct Run {
+	uint32_t attempt;
+	int64_t since_ms;
+};
+
+// A worker's own clock is slow by kSlowClock; its lease is measured on it.
+struct Worker {
+	bool listed = false;
+	bool draining = false;
+	bool reachable = true;
+	int64_t lease = 0; // on its clock
+	uint64_t token = 0;
+	std::map<std::string, Run> runs;
+
+	static int64_t
+	Clock(int64_t now_ms)
+	{
+		return now_ms * (100 - kSlowClock) / 100;
+	}
+};
+
+// One entry at a time, with a store and workers that outlive it.
+class Handover : public ::testing::Test {
+      protected:
+	void
+	SetUp() override
+	{
+		clock_pause(1000000);
+		uv_loop_init(&loop);
+		strlcpy(queue.name, "q", sizeof(queue.name));
+		strlcpy(queue.terms.service, "s", sizeof(queue.terms.service));
+		queue.terms.max_attempts = 3;
+		queue.terms.stretch = 2;
+		queue.terms.target_ms = 1000;
+		config.version = 1;
+		config.queues = &queue;
+		config.nqueues = 1;
+		Put("c/config", "1");
+	}
+
+	void
+	TearDown() override
+	{
+		Close();
+		uv_run(&loop, UV_RUN_DEFAULT);
+		EXPECT_EQ(uv_loop_close(&loop), 0);
+		clock_resume();
+	}
+
+	// An entry that has just started; the first one leads.
+	struct node *
+	Open(const char *id = "e1")
+	{
+		struct node_options options;
+		struct node *opened = nullptr;
+		enum node_error error;
+
+		memset(&options, 0, sizeof(options));
+		options.loop = &loop;
+		options.id = id;
+		options.ip = "127.0.0.1";
+		options.data_center = "here";
+		options.power = 1;
+		options.lease_ms = kLease;
+		options.keep_ms = keep_ms;
+		options.harm_ms = 4000;
+		options.kv = { this, Get, Range, Watch, Txn, AnsweredMs,
+			FailedMs };
+		options.workers = { this, Start, Stop, Pace, Look };
+		options.world = { this, "c/", "w/", Config, WorkerEntry,
+			WorkerId };
+		// Below the ports that the system gives to clients; other
+		// programs on the machine may have one.
+		for (int i = 0; i < 20 && opened == nullptr; i++) {
+			options.port = 20000 + (getpid() + ports++) % 10000;
+			opened = node_open(&options, &error);
+		}
+		EXPECT_NE(opened, nullptr) << node_strerror(error);
+		nodes.push_back(opened);
+		return opened;
+	}
+
+	// Killed: it tells nobody.  All calls are answered once, also when
+	// nobody listens any more.
+	void
+	Close()
+	{
+		CloseLeft();
+		while (!nodes.empty()) {
+			node_close(nodes.back());
+			nodes.pop_back();
+		}
+		closing = true;
+		Deliver(INT64_MAX);
+		for (int i = 0; i < 3; i++)
+			uv_run(&loop, UV_RUN_NOWAIT);
+		Deliver(INT64_MAX);
+		closing = false;
+	}
+
+	// One that follows is killed; its own calls are answered in time.
+	void
+	Kill(struct node *node)
+	{
+		node_close(node);
+		nodes.erase(std::find(nodes.begin(), nodes.end(), node));
+	}
+
+	// The leader is told to stop: it resigns, and the next one takes over.
+	void
+	Leave()
+	{
+		node_leave(
+		    nodes.front(), [](void *) {}, nullptr);
+		leaving.push_back(nodes.front());
+		nodes.erase(nodes.begin());
+	}
+
+	void
+	CloseLeft()
+	{
+		for (struct node *node : leaving)
+			node_close(node);
+		leaving.clear();
+	}
+
+	void
+	Restart()
+	{
+		Close();
+		Open();
+	}
+
+	void
+	Deliver(int64_t until_ms)
+	{
+		while (!events.empty() && events.begin()->first <= until_ms) {
+			auto event = events.begin()->second;
+			events.erase(events.begin());
+			event();
+		}
+	}
+
+	// kStep of the paused clock, in which the entry's timers run.
+	void
+	Step()
+	{
+		clock_advance(kStep);
+		uv_update_time(&loop);
+		for (int i = 0; i < 4; i++) {
+			Deliver(clock_now_ms());
+			uv_run(&loop, UV_RUN_NOWAIT);
+			uv_sleep(turn_ms);
+		}
+		for (auto &[id, worker] : workers)
+			Lapse(worker);
+		WatchTasks();
+	}
+
+	// How long each task that ran once has been away.
+	void
+	WatchTasks()
+	{
+		for (auto &[id, worker] : workers) {
+			for (auto &[name, run] : worker.runs)
+				seen_ms[name] = clock_now_ms();
+		}
+		for (auto &[name, at] : seen_ms)
+			longest_away =
+			    std::max(longest_away, clock_now_ms() - at);
+	}
+
+	void
+	Pass(int64_t ms)
+	{
+		for (int64_t end = clock_now_ms() + ms; clock_now_ms() < end;)
+			Step();
+	}
+
+	void
+	Put(const std::string &key, const std::string &value)
+	{
+		items[key] = { value, ++revision };
+	}
+
+	void
+	AddWorker(const std::string &id)
+	{
+		workers[id].listed = true;
+		Put("w/" + id, id);
+	}
+
+	// The worker says that it leaves.
+	void
+	Drain(const std::string &id)
+	{
+		workers[id].draining = true;
+		Put("w/" + id, id);
+	}
+
+	// The worker ends without a sign, and with it what ran there.
+	void
+	WorkerGone(const std::string &id)
+	{
+		workers[id].listed = false;
+		workers[id].reachable = false;
+		workers[id].runs.clear();
+		items.erase("w/" + id);
+		revision++;
+	}
+
+	// The entry can't reach it any more; what runs there goes on.
+	void
+	CutOff(const std::string &id)
+	{
+		workers[id].reachable = false;
+		workers[id].listed = false;
+		items.erase("w/" + id);
+		revision++;
+	}
+
+	// A job of tasks that are to last.
+	void
+	Submit(const std::string &id, uint32_t count, int64_t cpu = 1000)
+	{
+		struct graph *g = graph_new(1);
+
+		strlcpy(g->id, id.c_str(), sizeof(g->id));
+		strlcpy(g->queue, "q", sizeof(g->queue));
+		g->terms = queue.terms;
+		g->payload = strdup("p");
+		g->steps[0].count = count;
+		g->steps[0].size = { cpu, 100, 0 };
+		g->steps[0].estimate_ms = 300;
+		g->steps[0].lasts = true;
+		node_submit(
+		    nodes.front(), g, clock_now_ms() + 3000, Replied, this);
+	}
+
+	size_t
+	Running() const
+	{
+		size_t n = 0;
+
+		for (auto &[id, worker] : workers)
+			n += worker.runs.size();
+		return n;
+	}
+
+	// One task a worker, and no room beside it.
+	void
+	FillWorkers()
+	{
+		for (size_t i = 0; i < kWorkers; i++)
+			AddWorker("w" + std::to_string(i));
+		Pass(1500);
+		Submit("job", kWorkers, 8000);
+		Pass(1500);
+		ASSERT_EQ(Running(), kWorkers);
+	}
+
+	// Each worker says that it leaves, goes three gaps later, and another
+	// one comes in its place.
+	void
+	ReplaceWorkers(const std::function<void(int64_t)> &each)
+	{
+		constexpr int64_t kGap = 700, kNotice = 3 * kGap;
+		constexpr int64_t kAll = 16000;
+
+		for (int64_t past = 0; past < kAll; past += kStep) {
+			int64_t i = past / kGap, left = (past - kNotice) / kGap;
+			bool now = past % kGap == 0;
+			if (now && i < static_cast<int64_t>(kWorkers))
+				Drain("w" + std::to_string(i));
+			if (now && past >= kNotice &&
+			    left < static_cast<int64_t>(kWorkers)) {
+				WorkerGone("w" + std::to_string(left));
+				AddWorker("new" + std::to_string(left));
+			}
+			if (left >= static_cast<int64_t>(kWorkers) &&
+			    Running() == kWorkers)
+				return;
+			if (left >= static_cast<int64_t>(kWorkers) &&
+			    Running() == kWorkers)
+				return;
+			each(past);
+			Step();
+		}
+	}
+
+	// Pass time until so many tasks run; how long it took.
+	int64_t
+	PassUntilRunning(size_t n, int64_t at_most_ms,
+	    const std::function<void(int64_t)> &each = nullptr)
+	{
+		int64_t past;
+
+		for (past = 0; past < at_most_ms && Running() < n;
+		     past += kStep) {
+			if (each != nullptr)
+				each(past);
+			Step();
+		}
+		return past;
+	}
+
+	// What outlived its lease is killed by its worker.
+	static void
+	Lapse(Worker &worker)
+	{
+		if (Worker::Clock(clock_now_ms()) >= worker.lease)
+			worker.runs.clear();
+	}
+
+	void
+	At(int64_t delay_ms, std::function<void()> event)
+	{
+		events.emplace(clock_now_ms() + delay_ms, std::move(event));
+	}
+
+	// The store.
+
+	void
+	Reply(kv_done *done, void *ctx, enum kv_error error,
+	    const std::vector<std::string> &keys, bool more = false)
+	{
+		struct kv_result result;
+		std::vector<struct kv_item> rows;
+		std::vector<Item> copies;
+
+		copies.reserve(keys.size());
+		for (auto &key : keys) {
+			auto found = items.find(key);
+			if (found != items.end())
+				copies.push_back(found->second);
+			else
+				copies.push_back({ "", 0 });
+			rows.push_back({ key.c_str(),
+			    found != items.end() ? copies.back().value.c_str() :
+						   nullptr,
+			    copies.back().value.size(),
+			    copies.back().revision });
+		}
+		memset(&result, 0, sizeof(result));
+		result.error = closing || store_down ? KV_UNAVAILABLE : error;
+		result.items = rows.data();
+		result.nitems =
+		    result.error == KV_OK || result.error == KV_CONFLICT ?
+		    rows.size() :
+		    0;
+		result.more = result.error == KV_OK && more;
+		result.revision = revision;
+		done(&result, ctx);
+	}
+
+	static Handover *
+	Self(void *ctx)
+	{
+		return static_cast<Handover *>(ctx);
+	}
+	static void
+	Get(void *ctx, const char *key_text, kv_done *done, void *done_ctx)
+	{
+		Handover *self = Self(ctx);
+		std::string key = key_text;
+
+		self->At(kWay, [=] {
+			std::vector<std::string> keys;
+			if (self->items.count(key))
+				keys.push_back(key);
+			self->Reply(done, done_ctx, KV_OK, keys);
+		});
+	}
+	static void
+	Range(void *ctx, const char *prefix_text, const char *after_text,
+	    kv_done *done, void *done_ctx)
+	{
+		Handover *self = Self(ctx);
+		std::string prefix = prefix_text;
+		std::string after = after_text != nullptr ? after_text : "";
+
+		self->reads[prefix]++;
+
+		self->At(kWay, [=] {
+			std::vector<std::string> keys;
+			bool more = false;
+			for (auto &[key, item] : self->items) {
+				if (key.compare(0, prefix.size(), prefix) !=
+					0 ||
+				    key <= after)
+					continue;
+				more = keys.size() == self->page;
+				if (more)
+					break;
+				keys.push_back(key);
+			}
+			self->Reply(done, done_ctx, KV_OK, keys, more);
+		});
+	}
+	// History is always gone: the entry reads everything again.
+	static void
+	Watch(void *ctx, const char *, int64_t, int64_t, kv_done *done,
+	    void *done_ctx)
+	{
+		Handover *self = Self(ctx);
+
+		self->At(kWay,
+		    [=] { self->Reply(done, done_ctx, KV_COMPACTED, {}); });
+	}
+	static void
+	Txn(void *ctx, const struct kv_txn *txn, kv_done *done, void *done_ctx)
+	{
+		Handover *self = Self(ctx);
+		std::vector<std::pair<std::string, int64_t>> compares;
+		std::vector<std::pair<std::string, std::string>> puts;
+		std::vector<std::string> removes;
+
+		for (size_t i = 0; i < txn->ncompares; i++)
+			compares.emplace_back(
+			    txn->compares[i].key, txn->compares[i].revision);
+		for (size_t i = 0; i < txn->nputs; i++)
+			puts.emplace_back(txn->puts[i].key,
+			    std::string(txn->puts[i].value, txn->puts[i].len));
+		for (size_t i = 0; i < txn->nremoves; i++)
+			removes.emplace_back(txn->removes[i]);
+		self->At(kWay, [=] {
+			std::vector<std::string> keys;
+			bool holds = true;
+			if (self->store_down) {
+				self->Reply(done, done_ctx, KV_UNAVAILABLE, {});
+				return;
+			}
+			enum kv_error error = KV_OK;
+			if (self->before_removal != nullptr && puts.empty() &&
+			    !removes.empty())
+				error = self->before_removal(removes);
+			if (error == KV_UNAVAILABLE) {
+				self->Reply(done, done_ctx, error, {});
+				return;
+			}
+			for (auto &[key, at] : compares) {
+				auto found = self->items.find(key);
+				keys.push_back(key);
+				if ((found == self->items.end() ?
+					    0 :
+					    found->second.revision) != at)
+					holds = false;
+			}
+			if (!holds) {
+				self->Reply(done, done_ctx, KV_CONFLICT, keys);
+				return;
+			}
+			self->revision++;
+			for (auto &[key, value] : puts)
+				self->items[key] = { value, self->revision };
+			for (auto &key : removes)
+				self->items.erase(key);
+			self->Reply(done, done_ctx, error, {});
+		});
+	}
+	static int64_t
+	AnsweredMs(void *)
+	{
+		return clock_now_ms();
+	}
+	static int64_t
+	FailedMs(void *)
+	{
+		return 0;
+	}
+
+	// Workers.
+
+	// Carry an order out, and answer it; one out of reach never answers.
+	void
+	Order(const struct worker_order &order, worker_done *done,
+	    void *done_ctx, const std::function<void(Worker &)> &act,
+	    bool look = false)
+	{
+		std::string id = order.worker->id;
+		uint64_t term = order.term;
+
+		if (!workers[id].reachable) {
+			At(kOrderTimeout, [=, this] {
+				struct worker_result lost;
+				memset(&lost, 0, sizeof(lost));
+				lost.answer = ANSWER_LOST;
+				done(&lost, done_ctx);
+			});
+			return;
+		}
+		At(kWay, [=, this] {
+			Worker &worker = workers[id];
+			struct worker_result result;
+			struct look_result list;
+			std::vector<struct look_running> running;
+
+			memset(&result, 0, sizeof(result));
+			memset(&list, 0, sizeof(list));
+			if (closing) {
+				result.answer = ANSWER_LOST;
+				done(&result, done_ctx);
+				return;
+			}
+			result.clock_ms = Worker::Clock(clock_now_ms());
+			list.clock_ms = result.clock_ms;
+			if (term < worker.token)
+				result.answer = ANSWER_FENCED;
+			else {
+				worker.token = term;
+				act(worker);
+			}
+			for (auto &[name, run] : worker.runs) {
+				struct look_running row;
+				memset(&row, 0, sizeof(row));
+				ReadName(name, &row.task);
+				row.attempt = run.attempt;
+				row.checkpoint = "";
+				row.percent = 100;
+				running.push_back(row);
+			}
+			list.running = running.data();
+			list.nrunning = running.size();
+			if (look && result.answer == ANSWER_OK)
+				result.look = &list;
+			done(&result, done_ctx);
+		});
+	}
+	static std::string
+	NameOf(const struct task_name *task)
+	{
+		return std::string(task->job) + "." +
+		    std::to_string(task->index);
+	}
+	static void
+	ReadName(const std::string &name, struct task_name *task)
+	{
+		size_t dot = name.find('.');
+
+		strlcpy(
+		    task->job, name.substr(0, dot).c_str(), sizeof(task->job));
+		task->index = (uint32_t)std::stoul(name.substr(dot + 1));
+	}
+	static void
+	Start(void *ctx, const struct worker_start *start, worker_done *done,
+	    void *done_ctx)
+	{
+		Handover *self = Self(ctx);
+		std::string name = NameOf(start->order.task);
+		uint32_t attempt = start->order.attempt;
+		int64_t deadline = start->deadline_ms;
+
+		self->Order(start->order, done, done_ctx, [=](Worker &worker) {
+			for (auto &[id, other] : self->workers) {
+				if (other.runs.count(name))
+					self->doubles++;
+			}
+			if (worker.draining)
+				self->starts_draining++;
+			worker.runs[name] = { attempt, clock_now_ms() };
+			if (deadline > worker.lease)
+				worker.lease = deadline;
+		});
+	}
+	static void
+	Stop(void *ctx, const struct worker_order *order, worker_done *done,
+	    void *done_ctx)
+	{
+		std::string name = NameOf(order->task);
+
+		Self(ctx)->Order(*order, done, done_ctx,
+		    [=](Worker &worker) { worker.runs.erase(name); });
+	}
+	static void
+	Pace(void *ctx, const struct worker_order *order, int,
+	    worker_done *done, void *done_ctx)
+	{
+		Self(ctx)->Order(*order, done, done_ctx, [](Worker &) {});
+	}
+	static void
+	Look(void *ctx, const struct worker_look *look, worker_done *done,
+	    void *done_ctx)
+	{
+		struct worker_order order = { look->worker, nullptr, 0,
+			look->term };
+		int64_t deadline = look->deadline_ms;
+
+		Self(ctx)->Order(
+		    order, done, done_ctx,
+		    [=](Worker &worker) {
+			    if (deadline > worker.lease)
+				    worker.lease = deadline;
+		    },
+		    true);
+	}
+
+	// How the world writes things down.
+
+	static const struct entry_config *
+	Config(void *ctx, const char *, const char *, size_t)
+	{
+		return &Self(ctx)->config;
+	}
+	static bool
+	WorkerEntry(void *ctx, const char *key, const char *, size_t,
+	    struct worker_info *info)
+	{
+		const char *id = key + strlen("w/");
+
+		strlcpy(info->id, id, sizeof(info->id));
+		strlcpy(info->service, "s", sizeof(info->service));
+		info->capacity = { 8000, 8000, 0 };
+		info->draining = Self(ctx)->workers[id].draining;
+		return true;
+	}
+	static const char *
+	WorkerId(void *, const char *key)
+	{
+		return key + strlen("w/");
+	}
+	static void
+	Replied(const struct node_reply *reply, void *ctx)
+	{
+		if (reply->outcome == NODE_ACCEPTED)
+			Self(ctx)->accepted++;
+	}
+
+	uv_loop_t loop;
+	std::vector<struct node *> nodes; // the first one leads
+	std::vector<struct node *> leaving;
+	int ports = 0;
+	// The loop turns four times a step.  Messages between entries take
+	// real time, so they seem slow unless a step takes as long as it says.
+	unsigned int turn_ms = 6;
+	bool closing = false, store_down = false;
+	int64_t keep_ms = 100000;
+	size_t page = 1000; // items of a range at once
+	std::map<std::string, int> reads; // of ranges, by prefix
+	// Called as a write that only removes is about to be done; all but
+	// KV_OK is what its sender hears: KV_UNAVAILABLE without its being
+	// done, KV_UNKNOWN though it is.
+	std::function<enum kv_error(const std::vector<std::string> &)>
+	    before_removal;
+	struct queue_config queue = {};
+	struct entry_config config = {};
+	std::map<std::string, Item> items;
+	int64_t revision = 1;
+	std::map<std::string, Worker> workers;
+	std::multimap<int64_t, std::function<void()>> events;
+	std::map<std::string, int64_t> seen_ms;
+	int64_t longest_away = 0;
+	int accepted = 0, doubles = 0, starts_draining = 0;
+
+	// The users' bound on how long a task that lasts may be away.
+	static constexpr int64_t kAwayMax = 9000;
+	static constexpr size_t kWorkers = 8;
+};
+
+#endif // HANDOVER_FIXTURE_H
