--- a/entry/codec.c
+++ b/entry/codec.c
@@ -364,10 +364,14 @@
 }
 
 char *
-codec_ended(enum sched_job_state state, size_t *len)
+codec_ended(enum sched_job_state state, int64_t ended_ms, size_t *len)
 {
-	return dump(
-	    json_pack("{ss}", "state", sched_job_state_name(state)), len);
+	json_t *object;
+
+	object = json_pack("{ss}", "state", sched_job_state_name(state));
+	if (object != NULL)
+		set_number(object, "ended_ms", ended_ms);
+	return dump(object, len);
 }
 
 int
@@ -392,6 +396,19 @@
 	return found;
 }
 
+int64_t
+codec_read_ended_ms(const char *text, size_t len)
+{
+	json_t *object;
+	int64_t ended_ms;
+
+	if ((object = json_loadb(text, len, 0, NULL)) == NULL)
+		return 0;
+	ended_ms = get_number(object, "ended_ms");
+	json_decref(object);
+	return ended_ms > 0 ? ended_ms : 0;
+}
+
 json_t *
 codec_task(const struct task_name *task)
 {
--- a/entry/codec.h
+++ b/entry/codec.h
@@ -29,8 +29,10 @@
 /* -1: damaged.  The job must be new. */
 int codec_read_progress(struct sched_job *, const char *, size_t len);
 
-/* A job that ended. */
-char *codec_ended(enum sched_job_state, size_t *len);
+/* A job that ended, and when: milliseconds since 1970; 0: not told. */
+char *codec_ended(enum sched_job_state, int64_t ended_ms, size_t *len);
 int codec_read_ended(const char *, size_t len, enum sched_job_state *);
+/* 0: not told, as by an earlier version, or damaged. */
+int64_t codec_read_ended_ms(const char *, size_t len);
 
 #endif /* CODEC_H */
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -303,6 +303,7 @@
 	carry_tick(l->carry, now_ms);
 	save_tick(l, now_ms);
 	fleet_tick(l, now_ms);
+	sweep_tick(l, now_ms);
 	if (l->ready && now_ms - l->load_ms >= LOAD_MS)
 		log_load(l, now_ms);
 }
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -42,6 +42,17 @@
 
 #define FORGET_MAX 256
 
+/* Where the sweep of ended jobs' records is. */
+struct sweep {
+	bool out; /* a page is read, or records of it are removed */
+	int64_t next_ms; /* no page before */
+	int64_t sent_ms; /* the write */
+	size_t n; /* records that it removes */
+	char after[KEY_MAX]; /* looked at up to here; "": at the beginning */
+	char upto[KEY_MAX]; /* the same after this page; "": it is the last */
+	uint64_t removed; /* by this sweep */
+};
+
 struct lead {
 	struct node *node;
 	struct sched *sched;
@@ -96,6 +107,7 @@
 	char forget[FORGET_MAX][GRAPH_ID_MAX];
 	size_t nforget;
 	bool forget_out;
+	struct sweep sweep; /* for records that former leaders left */
 };
 
 /* lead.c */
@@ -127,6 +139,9 @@
 /* Common to the answers of all writes; false: the lead is over. */
 bool save_answered(struct lead *, const struct kv_result *, int64_t sent_ms);
 
+/* lead_sweep.c */
+void sweep_tick(struct lead *, int64_t now_ms);
+
 /* lead_record.c */
 /* What the record should say of the worker changed, or it is forgotten. */
 void lead_record_changed(struct sched *, struct sched_worker *, void *ctx);
--- a/entry/lead_save.c
+++ b/entry/lead_save.c
@@ -118,7 +118,8 @@
 	}
 	snprintf(row->keys[1], KEY_MAX, KEY_JOB "%s", job->id);
 	snprintf(row->keys[2], KEY_MAX, KEY_ENDED "%s", job->id);
-	row->text = codec_ended(job->state, &row->len);
+	/* Callers see the end once this is written: it counts from here. */
+	row->text = codec_ended(job->state, clock_wall_ms(), &row->len);
 	return row->text != NULL;
 }
 
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -541,7 +541,7 @@
 			uint64_t change = job->change;
 			bool ended = job->in_ended, lost;
 			size_t len;
-			char *raw = ended ? codec_ended(job->state, &len) :
+			char *raw = ended ? codec_ended(job->state, 0, &len) :
 					    codec_progress(job, &len);
 			std::string text(raw, len);
 			free(raw);
