--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -315,9 +315,9 @@
 }
 
 /*
- * A lease is renewed only while the worker answers and the record has it in
- * use.  Repeats to a silent one carry none, so that the time of its lapse
- * stays where it is.
+ * A lease is renewed only while the worker answers and the record surely
+ * doesn't have it expire.  Repeats to a silent one carry none, so that the time
+ * of its lapse stays where it is.
  */
 static void
 send_look(struct sched *s, struct sched_worker *worker, int64_t wait_ms,
