--- a/core/sched_leave.c
+++ b/core/sched_leave.c
@@ -92,12 +92,23 @@
 	}
 }
 
+/* Now, and there is a place to go to. */
+static bool
+should_move(struct leaving *l, const struct sched_run *run, bool hurry)
+{
+	int64_t claimed;
+
+	if (!can_move(run) || (!hurry && is_thin(run->task->step)))
+		return false;
+	claimed = l->moving_cpu + run->task->step->spec->size.cpu_millis;
+	return (double)claimed <= FREE_SHARE * (double)l->free_cpu &&
+	    place_has_room(l->s, run->task, l->now_ms);
+}
+
 static void
 move_from(struct leaving *l, struct sched_worker *worker)
 {
-	const struct graph_step *spec;
 	struct sched_run *run;
-	int64_t claimed;
 	bool hurry;
 
 	hurry =
@@ -105,15 +116,11 @@
 	TAILQ_FOREACH (run, &worker->runs, by_worker) {
 		if (l->moves == MOVES_MAX)
 			return;
-		spec = run->task->step->spec;
-		claimed = l->moving_cpu + spec->size.cpu_millis;
-		if (!can_move(run) || (!hurry && is_thin(run->task->step)) ||
-		    (double)claimed > FREE_SHARE * (double)l->free_cpu ||
-		    !place_has_room(l->s, run->task, l->now_ms))
+		if (!should_move(l, run, hurry))
 			continue;
 		run_want_stop(l->s, run);
 		l->s->counts.moves++;
-		l->moving_cpu = claimed;
+		l->moving_cpu += run->task->step->spec->size.cpu_millis;
 		l->moves++;
 	}
 }
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -218,7 +218,7 @@
  * that we can't hear may have the store, and workers that the next leader
  * can't reach would run on under our renewals while it takes their leases for
  * over.  So we renew and start nothing after FOLLOWER_MS, well before
- * FORMER_MS.
+ * LEAD_FORMER_MS.
  */
 static void
 check_frozen(struct lead *l, int64_t now_ms)
