Fold what stood twice: failed starts of gangs, set-ups of tests

The length of a lease is a choice, so it moved from platform/run.c to the leader; the adapter passes on what workers allow. The set-ups that tests of gangs, due times, handovers and the model wrote out stand once. Sched.LastingTasksMoveBeforeTheirWorkerLeaves asserts before it indexes, so that it fails instead of crashing when nothing is moved.

--- a/core/elect.c
+++ b/core/elect.c
@@ -78,17 +78,10 @@
 	}
 }
 
-/* The leader that we know has said so itself. */
-static bool
-is_over(const struct elect *e)
-{
-	return e->resigned || e->gone;
-}
-
 static bool
 may_take(const struct elect *e, int64_t now_ms)
 {
-	if (e->leader.id[0] == '\0' || is_over(e))
+	if (e->leader.id[0] == '\0' || e->resigned || e->gone)
 		return true;
 	/* Our former life led; it is over. */
 	if (strcmp(e->leader.id, e->opt.self) == 0)
@@ -150,7 +143,6 @@
 {
 	e->leader = *leader;
 	e->gone = false;
-	e->resigned = false;
 	e->leader_has_store = true;
 	e->heard_ms = now_ms - SILENCE_MS + GRACE_MS;
 	e->role = ELECT_FOLLOWER;
--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -43,39 +43,30 @@
 	return true;
 }
 
-/* Settle a run that surely never started, and try the task elsewhere. */
-static void
-start_refused(
-    struct sched *s, struct sched_run *run, int64_t retry_ms, int64_t now_ms)
-{
-	struct sched_task *task;
-
-	task = run->task;
-	s->counts.refused_starts++;
-	run_settle(s, run);
-	run_requeue(s, task, now_ms + retry_ms, now_ms);
-}
-
-/* A gang runs whole or not at all: one refusal ends the others. */
+/* A gang runs whole or not at all: one that doesn't start ends the others. */
 static void
 stop_gang(struct sched *s, struct sched_step *step)
 {
 	uint32_t i;
 
+	if (!step->spec->gang || step->tasks == NULL)
+		return;
 	for (i = 0; i < step->spec->count; i++)
 		run_stop_others(s, &step->tasks[i], NULL);
 }
 
+/* Settle a run that surely never started, and try the task elsewhere. */
 static void
 start_failed(
     struct sched *s, struct sched_run *run, int64_t retry_ms, int64_t now_ms)
 {
-	struct sched_step *step;
+	struct sched_task *task;
 
-	step = run->task->step;
-	start_refused(s, run, retry_ms, now_ms);
-	if (step->spec->gang && step->tasks != NULL)
-		stop_gang(s, step);
+	task = run->task;
+	s->counts.refused_starts++;
+	run_settle(s, run);
+	run_requeue(s, task, now_ms + retry_ms, now_ms);
+	stop_gang(s, task->step);
 }
 
 static void
@@ -89,9 +80,8 @@
 	 * answered makes the worker refuse that attempt from then on.
 	 */
 	run_want_stop(s, run);
-	/* The others of its gang would wait for it in vain. */
-	if (run->task->step->spec->gang)
-		stop_gang(s, run->task->step);
+	/* The others would wait for it in vain. */
+	stop_gang(s, run->task->step);
 }
 
 void
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -7,6 +7,12 @@
 
 /* The leading entry: it schedules all jobs and answers for them. */
 
+/*
+ * What runs holds a lease of at most this: long enough for a takeover, which
+ * takes a second, and for all entries to start anew; short enough for work on
+ * a lost worker to go on soon.
+ */
+#define LEASE_MS 5000
 /* Without the store's word for so long we may be replaced without knowing. */
 #define STORE_LOST_MS 1200
 /* A repeated job begins a little late rather than early: clocks differ. */
@@ -115,7 +121,9 @@
 	memset(&options, 0, sizeof(options));
 	options.term = node->elect.leader.term;
 	options.taken_ms = l->opened_ms;
-	options.lease_ms = node->opt.lease_ms;
+	options.lease_ms = node->opt.lease_max_ms < LEASE_MS ?
+	    node->opt.lease_max_ms :
+	    LEASE_MS;
 	options.former_ms = node->elect.former_over ? 0 : LEAD_FORMER_MS;
 	options.keep_ms = node->opt.keep_ms;
 	options.harm_ms = node->opt.harm_ms;
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -88,7 +88,7 @@
 		options.ip = "127.0.0.1";
 		options.data_center = "here";
 		options.power = 1;
-		options.lease_ms = kLease;
+		options.lease_max_ms = kLease;
 		options.keep_ms = keep_ms;
 		options.harm_ms = 4000;
 		options.kv = { this, Get, Range, Watch, Txn, AnsweredMs,
@@ -264,6 +264,17 @@
 		    nodes.front(), g, clock_now_ms() + 3000, Replied, this);
 	}
 
+	// One leader and one worker, which runs so many tasks that last.
+	void
+	RunOnFirst(uint32_t count)
+	{
+		AddWorker("first");
+		Open();
+		Pass(1500);
+		Submit("job", count);
+		Pass(1000);
+	}
+
 	size_t
 	Running() const
 	{
--- a/tests/test_accept.cc
+++ b/tests/test_accept.cc
@@ -39,7 +39,7 @@
 		options.port = 11000 + getpid() % 9000;
 		options.data_center = "here";
 		options.power = 1;
-		options.lease_ms = 5000;
+		options.lease_max_ms = 5000;
 		options.keep_ms = 1000;
 		options.harm_ms = 4000;
 		options.kv = { this, Get, Range, Watch, Txn, AnsweredMs,
--- a/tests/test_handover.cc
+++ b/tests/test_handover.cc
@@ -6,11 +6,7 @@
 {
 	int64_t away;
 
-	AddWorker("first");
-	Open();
-	Pass(1500);
-	Submit("job", 2);
-	Pass(1000);
+	RunOnFirst(2);
 	AddWorker("second");
 	Pass(1000);
 	WorkerGone("first");
@@ -30,11 +26,7 @@
 {
 	int64_t away;
 
-	AddWorker("first");
-	Open();
-	Pass(1500);
-	Submit("job", 2);
-	Pass(1000);
+	RunOnFirst(2);
 	ASSERT_EQ(accepted, 1);
 	ASSERT_EQ(workers["first"].runs.size(), 2u);
 	AddWorker("second");
@@ -52,11 +44,7 @@
 // lease is over: nothing may be started elsewhere before.
 TEST_F(Handover, NothingRunsTwiceThoughLeadersFollowEachOther)
 {
-	AddWorker("first");
-	Open();
-	Pass(1500);
-	Submit("job", 2);
-	Pass(1000);
+	RunOnFirst(2);
 	ASSERT_EQ(workers["first"].runs.size(), 2u);
 	AddWorker("second");
 	Pass(1000);
@@ -175,11 +163,7 @@
 	std::string text;
 	int64_t began;
 
-	AddWorker("first");
-	Open();
-	Pass(1500);
-	Submit("job", 1);
-	Pass(1000);
+	RunOnFirst(1);
 	ASSERT_EQ(accepted, 1);
 	text = items["lp/j/job"].value;
 	CutOff("first");
@@ -203,11 +187,7 @@
 {
 	int64_t began;
 
-	AddWorker("first");
-	Open();
-	Pass(1500);
-	Submit("job", 1);
-	Pass(1000);
+	RunOnFirst(1);
 	ASSERT_EQ(workers["first"].runs.size(), 1u);
 	AddWorker("second");
 	Pass(1000);
@@ -226,11 +206,7 @@
 // The same rows of the last leader hold: the task starts at once.
 TEST_F(Handover, RowsOfTheLastTermAreTrusted)
 {
-	AddWorker("first");
-	Open();
-	Pass(1500);
-	Submit("job", 1);
-	Pass(1000);
+	RunOnFirst(1);
 	AddWorker("second");
 	Pass(1000);
 	Close();
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -385,10 +385,10 @@
 	sched_worker_listed(s, w, &capacity, true, now + 4000, now);
 	now += 100;
 	sched_act(s, now);
-	EXPECT_EQ(stopped.size(), 2u);
+	ASSERT_EQ(stopped.size(), 2u);
 	now += 100;
 	sched_act(s, now);
-	EXPECT_EQ(stopped.size(), 2u);
+	ASSERT_EQ(stopped.size(), 2u);
 	// Their ends are listed: they start elsewhere.
 	for (auto &o : std::vector<Order>(stopped))
 		sched_stop_answered(
--- a/tests/test_sched_due.cc
+++ b/tests/test_sched_due.cc
@@ -34,6 +34,16 @@
 		s = sched_open(&options);
 	}
 
+	// One leader and one worker; each time runs for so long.
+	void
+	Begin(uint32_t repeats, int64_t runs_ms)
+	{
+		Lead(1);
+		Join("w1", 8000);
+		Add(Repeated(repeats));
+		run_ms["a"] = runs_ms;
+	}
+
 	// Another entry leads.  It reads of the job what was saved: the
 	// occurrences that are done.  Workers keep what runs there.
 	struct sched_job *
@@ -90,10 +100,7 @@
 // the same, and doesn't wait for the former one.
 TEST_F(Due, ALongOccurrenceDelaysNoOther)
 {
-	Lead(1);
-	Join("w1", 8000);
-	Add(Repeated(3));
-	run_ms["a"] = 2500;
+	Begin(3, 2500);
 	Play(5000);
 	StartedInTime(3);
 }
@@ -103,10 +110,7 @@
 // none is left out, and the one that runs isn't started again.
 TEST_F(Due, OccurrencesKeepTheirTimesOverChangesOfTheLeader)
 {
-	Lead(1);
-	Join("w1", 8000);
-	Add(Repeated(4));
-	run_ms["a"] = 400;
+	Begin(4, 400);
 	Play(2600);
 	StartedInTime(1);
 	TakeOver(2, 4, 1);
@@ -130,10 +134,7 @@
 // nothing.  It waits for the first time as the one before it did.
 TEST_F(Due, ALeaderThatComesBeforeTheFirstTimeWaitsForIt)
 {
-	Lead(1);
-	Join("w1", 8000);
-	Add(Repeated(2));
-	run_ms["a"] = 400;
+	Begin(2, 400);
 	Play(1000);
 	TakeOver(2, 2, 0);
 	Play(900);
@@ -147,10 +148,7 @@
 // counts once, so the last time is still run and the job isn't complete before.
 TEST_F(Due, AnEndToldAgainToTheNextLeaderCountsOnce)
 {
-	Lead(1);
-	Join("w1", 8000);
-	Add(Repeated(3));
-	run_ms["a"] = 400;
+	Begin(3, 400);
 	Play(2600);
 	StartedInTime(1);
 	at["w1"].ended.push_back({ 1, started[0], END_DONE });
--- a/tests/test_sched_gang.cc
+++ b/tests/test_sched_gang.cc
@@ -18,6 +18,17 @@
 		Add(g);
 	}
 
+	// The same; a start on the second worker has this answer.  Play until
+	// all three were sent.
+	void
+	StartOnThree(enum worker_answer second)
+	{
+		StartOnThree();
+		at["w2"].to_start = second;
+		for (int i = 0; i < 20 && started.empty(); i++)
+			Play(50);
+	}
+
 	// What runs is the whole gang, under one attempt above the given one.
 	void
 	RunsWholeAbove(uint32_t attempt)
@@ -105,10 +116,7 @@
 // others are stopped, and the gang runs on the two workers that are left.
 TEST_F(Gang, AMemberThatWasNeverSentStopsTheOthers)
 {
-	StartOnThree();
-	at["w2"].to_start = ANSWER_NOT_SENT;
-	for (int i = 0; i < 20 && started.empty(); i++)
-		Play(50);
+	StartOnThree(ANSWER_NOT_SENT);
 	ASSERT_EQ(started.size(), 3u);
 	uint32_t first = started[0].attempt;
 	at["w2"].reachable = false;
@@ -125,10 +133,7 @@
 // again whole, under one higher attempt.
 TEST_F(Gang, OneLostMemberStopsTheOthers)
 {
-	StartOnThree();
-	at["w2"].to_start = ANSWER_LOST;
-	for (int i = 0; i < 20 && started.empty(); i++)
-		Play(50);
+	StartOnThree(ANSWER_LOST);
 	ASSERT_EQ(started.size(), 3u);
 	uint32_t first = started[0].attempt;
 	at["w2"].to_start = ANSWER_OK;
--- a/tests/test_sched_model.cc
+++ b/tests/test_sched_model.cc
@@ -53,6 +53,21 @@
 				    << (broken.empty() ? "" : broken[0]);
 }
 
+// Twelve leaders in 20 s, on slow clocks, while answers and writes get lost.
+Faults
+LeadersFollowEachOther()
+{
+	Faults faults;
+
+	faults.takeovers = 12;
+	faults.window_ms = 20000;
+	faults.unsaved = 0.2;
+	faults.lost = 0.05;
+	faults.slow_clocks = true;
+	faults.failing = 0.1;
+	return faults;
+}
+
 } // namespace
 
 TEST(SchedModel, JobsEndWithoutFaults)
@@ -151,15 +166,9 @@
 // started while it may run; and no later than it must, so that all jobs end.
 TEST(SchedModel, CutOffWorkersWhileLeadersFollowEachOther)
 {
-	Faults faults;
+	Faults faults = LeadersFollowEachOther();
 
-	faults.takeovers = 12;
 	faults.cuts = 24;
-	faults.window_ms = 20000;
-	faults.unsaved = 0.2;
-	faults.lost = 0.05;
-	faults.slow_clocks = true;
-	faults.failing = 0.1;
 	ExpectKept(faults);
 }
 
@@ -167,16 +176,10 @@
 // they drain, while it is replaced again and again and others are cut off.
 TEST(SchedModel, WorkersLeaveWhileLeadersFollowEachOther)
 {
-	Faults faults;
+	Faults faults = LeadersFollowEachOther();
 
-	faults.takeovers = 12;
 	faults.drains = 16;
 	faults.cuts = 6;
-	faults.window_ms = 20000;
-	faults.unsaved = 0.2;
-	faults.lost = 0.05;
-	faults.slow_clocks = true;
-	faults.failing = 0.1;
 	ExpectKept(faults);
 }
 
