Revert "Place short work that claims processors before what lasts"

Conclusion: dropped; one that lets what lasts go first after a second or two may do, and isn't tried.

--- a/core/sched_rank.c
+++ b/core/sched_rank.c
@@ -8,13 +8,7 @@
  * Load answered: more work than processors for seconds (bursts of 1.5 to 2.6
  * times the usual), with short jobs that are worth little after their
  * objective.  A job that can still be in time goes before one that can't.  What
- * lasts goes before fillers, since it earns as long as it is at work.
- *
- * Before it go only short tasks that claim processors and are in time.  Where
- * what lasts claims nearly all room, each piece that comes free would else go
- * to another task that lasts: with 97 % claimed, 6.0 of 186 short jobs weren't
- * served in the mean of 8 plays, and 2.0 in this order, while lasting tasks
- * were served as well as before.
+ * lasts goes first, since it earns as long as it is at work.
  */
 
 /* Run time left on the longest chain of the job's first open occurrence. */
@@ -73,7 +67,6 @@
 
 /* Tiers of the order in which jobs are placed. */
 #define TIER 1e9
-#define TIER_SHORT 5
 #define TIER_LASTS 4
 #define TIER_IN_TIME 3
 #define TIER_LATE 2
@@ -81,18 +74,6 @@
 /* Past three times its objective a job earns nothing any more. */
 #define PAST_TIMES 3
 
-static bool
-claims_processors(const struct sched_job *job)
-{
-	size_t i;
-
-	for (i = 0; i < job->graph->nsteps; i++) {
-		if (!job->graph->steps[i].filler)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Among jobs of a tier the one goes first that has least time to spare before
  * it is late, or worth nothing.  An order by worth per work left
@@ -109,8 +90,6 @@
 	objective = objective_ms(job);
 	allowed_ms = objective - job->submitted_ms;
 	past = job->submitted_ms + PAST_TIMES * allowed_ms;
-	if (ends_ms <= objective && claims_processors(job))
-		return TIER_SHORT * TIER - (double)(objective - ends_ms);
 	if (ends_ms <= objective)
 		return TIER_IN_TIME * TIER - (double)(objective - ends_ms);
 	if (ends_ms <= past)
