Pass over entries of other writers, in lists, watches and our own records

An entry with a field missing or of another type, a state or service that isn't named, or bytes that can't be read named a worker, ended the process that read the record of workers, kept all from leading (lp/leader), marked tasks as done (lp/p/) or spoiled the whole list it stood in. Numbers were converted: fractions cut off, others wrapped around.

Now lib/jsonfield tells what is of another type from what is left out, for the adapter and for our own records; a refused entry is logged once with its key and reason, and counted (lib/refused). A record of workers that can't be read holds what may run on workers that only it named for a lease. Tests: each kind leaves the others usable, a takeover among such entries, fuzzed rows, reports, settings.

--- a/core/sched.c
+++ b/core/sched.c
@@ -28,8 +28,8 @@
 		free(s);
 		return NULL;
 	}
-	/* All of them, until the first look at each. */ s->unsettled =
-	    UINT64_MAX;
+	/* All of them, until the first look at each. */
+	s->unsettled = UINT64_MAX;
 	s->any_left = true;
 	s->former_left = true;
 	return s;
@@ -117,7 +117,7 @@
 	}
 	if (s->deposed)
 		return;
-	inherit_check(s);
+	inherit_check(s, now_ms);
 	place_waiting(s, now_ms);
 	job_retire_old(s, now_ms);
 	if (!TAILQ_EMPTY(&s->dirty))
--- a/core/sched_inherit.c
+++ b/core/sched_inherit.c
@@ -118,15 +118,36 @@
 }
 
 void
-inherit_check(struct sched *s)
+sched_record_lost(struct sched *s)
+{
+	s->record_lost = true;
+}
+
+/* Workers that only the lost record knew have lapsed. */
+static void
+check_lost(struct sched *s, int64_t now_ms)
+{
+	int64_t lapses_ms;
+
+	lapses_ms = worker_unheard_lapses(s);
+	if (now_ms >= lapses_ms)
+		s->record_lost = false;
+	else
+		sched_due(s, lapses_ms);
+}
+
+void
+inherit_check(struct sched *s, int64_t now_ms)
 {
 	struct sched_worker *worker;
 	uint64_t unsettled;
 
 	if (s->unsettled == 0)
 		return;
+	if (s->record_lost)
+		check_lost(s, now_ms);
 	/* Serials and not a number: one may come as another goes. */
-	unsettled = 0;
+	unsettled = s->record_lost ? 1 : 0;
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
 		if (worker->inherited != RECORD_NONE &&
 		    !sched_worker_settled(worker))
@@ -138,8 +159,8 @@
 	s->unsettled = unsettled;
 	s->place_wanted = true;
 	s->nleft = 0;
-	s->any_left = false;
-	s->former_left = false;
+	s->any_left = s->record_lost;
+	s->former_left = s->record_lost;
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
 		if (worker->inherited == RECORD_NONE ||
 		    sched_worker_settled(worker))
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -49,6 +49,8 @@
 int64_t worker_clock(const struct sched_worker *, int64_t now_ms);
 /* When its clock has surely passed a time on it. */
 int64_t worker_passes(const struct sched_worker *, int64_t worker_ms);
+/* When a worker that hasn't answered this leader has surely lapsed. */
+int64_t worker_unheard_lapses(const struct sched *);
 void worker_died(struct sched *, struct sched_worker *, int64_t now_ms);
 void worker_missed(struct sched_worker *, int64_t now_ms);
 /* Before the steps of all workers. */
@@ -62,7 +64,7 @@
 /* sched_inherit.c */
 /* It is known that nothing runs there. */
 bool worker_is_empty(const struct sched_worker *);
-void inherit_check(struct sched *);
+void inherit_check(struct sched *, int64_t now_ms);
 /* The task may run on a worker that hasn't answered this leader. */
 bool inherit_holds(const struct sched *, const struct sched_task *);
 
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -217,6 +217,13 @@
 	    LAPSE_MARGIN_MS;
 }
 
+int64_t
+worker_unheard_lapses(const struct sched *s)
+{
+	return s->opt.taken_ms + s->opt.former_ms +
+	    (int64_t)((double)s->opt.lease_ms * SLOW_CLOCK) + LAPSE_MARGIN_MS;
+}
+
 /*
  * When all that runs there has surely lapsed.  One that hasn't answered this
  * leader may have been renewed by a former one, for former_ms into our term;
@@ -232,8 +239,7 @@
 		return worker_passes(worker, worker->granted_ms);
 	if (worker->expires_ms != 0)
 		return worker->expires_ms;
-	return s->opt.taken_ms + s->opt.former_ms +
-	    (int64_t)((double)s->opt.lease_ms * SLOW_CLOCK) + LAPSE_MARGIN_MS;
+	return worker_unheard_lapses(s);
 }
 
 int64_t
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -420,6 +420,7 @@
 	uint64_t unsettled; /* which they are: a sum of hashes; 0: none */
 	bool any_left; /* any task may run on one */
 	bool former_left; /* the last leader may start tasks on one */
+	bool record_lost; /* which they are isn't known */
 	uint64_t *left; /* hashes of the tasks that may run there, sorted */
 	size_t nleft;
 	int64_t next_ms; /* when sched_act() is due at the latest */
@@ -494,6 +495,11 @@
 };
 void sched_worker_inherit(
     struct sched_worker *, const struct sched_inherited *, int64_t now_ms);
+/*
+ * The record can't be read: until all leases of former leaders have lapsed,
+ * any task may run on a worker that isn't known.
+ */
+void sched_record_lost(struct sched *);
 /* What may run there, for the record; false: not known, so anything. */
 bool sched_worker_each_task(const struct sched_worker *,
     void (*)(const struct task_name *, void *ctx), void *ctx);
--- a/entry/asks.c
+++ b/entry/asks.c
@@ -286,8 +286,11 @@
 	else if (codec_read_ended(
 		     result->items[0].value, result->items[0].len, &state) == 0)
 		finish_from_store(ask, NODE_STATE, state);
-	else
-		log_error("ended_damaged", "job=%s", ask->job);
+	else {
+		refused_note(
+		    &ask->node->refused, result->items[0].key, "not_an_end");
+		finish_from_store(ask, NODE_UNKNOWN_JOB, JOB_QUEUED);
+	}
 }
 
 static void
--- a/entry/codec.c
+++ b/entry/codec.c
@@ -4,9 +4,10 @@
 #include <jansson.h>
 
 #include "codec.h"
+#include "jsonfield.h"
 
-static int read_steps(struct graph *, const json_t *);
-static int read_step(struct graph_step *, const json_t *);
+static bool read_steps(struct graph *, const json_t *);
+static bool read_step(struct graph_step *, const json_t *);
 
 static void
 set_number(json_t *object, const char *key, int64_t value)
@@ -29,30 +30,49 @@
 		json_object_set_new(object, key, json_string(value));
 }
 
-static int64_t
-get_number(const json_t *object, const char *key)
+/*
+ * Fields of records under our own prefix, which other writers reach, too: one
+ * of another type spoils the record, as what it was meant to say isn't known.
+ */
+
+/* Left out it is 0. */
+static bool
+get_number(const json_t *object, const char *key, int64_t *value)
+{
+	return json_whole_or(
+	    json_object_get(object, key), 0, INT64_MAX, 0, value);
+}
+
+static bool
+get_count(const json_t *object, const char *key, uint32_t *value)
 {
-	return json_integer_value(json_object_get(object, key));
+	const json_t *field;
+
+	*value = 0;
+	field = json_object_get(object, key);
+	return field == NULL || json_count(field, value);
 }
 
 static bool
-get_flag(const json_t *object, const char *key)
+get_flag(const json_t *object, const char *key, bool *value)
 {
-	return json_is_true(json_object_get(object, key));
+	const json_t *field;
+
+	field = json_object_get(object, key);
+	*value = json_is_true(field);
+	return field == NULL || json_is_boolean(field);
 }
 
-static int
+static bool
 get_text(const json_t *object, const char *key, char *buf, size_t size)
 {
 	const json_t *value;
 
 	buf[0] = '\0';
 	if ((value = json_object_get(object, key)) == NULL)
-		return 0;
-	if (!json_is_string(value) ||
-	    strlcpy(buf, json_string_value(value), size) >= size)
-		return -1;
-	return 0;
+		return true;
+	return json_is_string(value) &&
+	    strlcpy(buf, json_string_value(value), size) < size;
 }
 
 static char *
@@ -111,17 +131,20 @@
 	    (json_int_t)terms->target_ms);
 }
 
-static int
+static bool
 read_terms(struct queue_terms *terms, const json_t *object)
 {
-	if (get_text(object, "service", terms->service,
-		sizeof(terms->service)) == -1)
-		return -1;
-	terms->priority = (uint32_t)get_number(object, "priority");
-	terms->max_attempts = (uint32_t)get_number(object, "max_attempts");
-	terms->stretch = json_number_value(json_object_get(object, "stretch"));
-	terms->target_ms = get_number(object, "target_ms");
-	return 0;
+	const json_t *stretch;
+
+	stretch = json_object_get(object, "stretch");
+	if (!json_is_object(object) || !json_is_number(stretch))
+		return false;
+	terms->stretch = json_number_value(stretch);
+	return get_text(
+		   object, "service", terms->service, sizeof(terms->service)) &&
+	    get_count(object, "priority", &terms->priority) &&
+	    get_count(object, "max_attempts", &terms->max_attempts) &&
+	    get_number(object, "target_ms", &terms->target_ms);
 }
 
 char *
@@ -165,16 +188,16 @@
 	if (!json_is_string(payload) || !json_is_array(steps) ||
 	    (g = graph_new(json_array_size(steps))) == NULL)
 		goto fail;
-	if (get_text(object, "id", g->id, sizeof(g->id)) == -1 ||
-	    get_text(object, "queue", g->queue, sizeof(g->queue)) == -1 ||
+	if (!get_text(object, "id", g->id, sizeof(g->id)) ||
+	    !get_text(object, "queue", g->queue, sizeof(g->queue)) ||
 	    (g->payload = strdup(json_string_value(payload))) == NULL ||
-	    read_terms(&g->terms, json_object_get(object, "terms")) == -1 ||
-	    read_steps(g, steps) == -1)
+	    !read_terms(&g->terms, json_object_get(object, "terms")) ||
+	    !get_number(object, "submitted_ms", &g->submitted_ms) ||
+	    !get_count(object, "repeats", &g->repeats) ||
+	    !get_number(object, "first_due_ms", &g->first_due_ms) ||
+	    !get_number(object, "every_ms", &g->every_ms) ||
+	    !read_steps(g, steps))
 		goto fail;
-	g->submitted_ms = get_number(object, "submitted_ms");
-	g->repeats = (uint32_t)get_number(object, "repeats");
-	g->first_due_ms = get_number(object, "first_due_ms");
-	g->every_ms = get_number(object, "every_ms");
 	if (graph_check(g, &step) != GRAPH_OK)
 		goto fail;
 	json_decref(object);
@@ -186,54 +209,72 @@
 	return NULL;
 }
 
-static int
+static bool
 read_steps(struct graph *g, const json_t *steps)
 {
 	size_t i;
 
 	for (i = 0; i < g->nsteps; i++) {
-		if (read_step(&g->steps[i], json_array_get(steps, i)) == -1)
-			return -1;
+		if (!read_step(&g->steps[i], json_array_get(steps, i)))
+			return false;
 	}
-	return 0;
+	return true;
 }
 
-static int
-read_step(struct graph_step *step, const json_t *object)
+static bool
+read_after(struct graph_step *step, const json_t *list)
 {
-	const json_t *after;
+	const json_t *row;
 	size_t i;
 
-	step->count = (uint32_t)get_number(object, "count");
-	step->size.cpu_millis = get_number(object, "cpu_millis");
-	step->size.memory_mib = get_number(object, "memory_mib");
-	step->size.accelerators = get_number(object, "accelerators");
-	step->estimate_ms = get_number(object, "run_ms");
-	after = json_object_get(object, "after");
-	if (json_array_size(after) > 0) {
-		step->after =
-		    calloc(json_array_size(after), sizeof(*step->after));
-		if (step->after == NULL)
-			return -1;
-		step->nafter = json_array_size(after);
+	if (list == NULL)
+		return true;
+	if (!json_is_array(list))
+		return false;
+	step->after = calloc(json_array_size(list) + 1, sizeof(*step->after));
+	if (step->after == NULL)
+		return false;
+	json_array_foreach(list, i, row)
+	{
+		if (!json_count(row, &step->after[step->nafter++]))
+			return false;
 	}
-	for (i = 0; i < step->nafter; i++)
-		step->after[i] =
-		    (uint32_t)json_integer_value(json_array_get(after, i));
-	step->checkpoints = get_flag(object, "checkpoints");
-	step->gang = get_flag(object, "gang");
-	step->one_rack = get_flag(object, "one_rack");
-	step->copies = get_flag(object, "copies");
-	step->lasts = get_flag(object, "lasts");
-	step->filler = get_flag(object, "filler");
-	step->per_worker = (uint32_t)get_number(object, "per_worker");
-	step->may_be_away = (uint32_t)get_number(object, "may_be_away");
-	step->tail_target_ms = get_number(object, "tail_ms");
-	if (get_text(object, "label", step->label, sizeof(step->label)) == -1 ||
-	    get_text(object, "rack", step->rack, sizeof(step->rack)) == -1 ||
-	    get_text(object, "image", step->image, sizeof(step->image)) == -1)
-		return -1;
-	return 0;
+	return true;
+}
+
+static bool
+read_size(struct graph_step *step, const json_t *object)
+{
+	return get_count(object, "count", &step->count) &&
+	    get_number(object, "cpu_millis", &step->size.cpu_millis) &&
+	    get_number(object, "memory_mib", &step->size.memory_mib) &&
+	    get_number(object, "accelerators", &step->size.accelerators) &&
+	    get_number(object, "run_ms", &step->estimate_ms);
+}
+
+static bool
+read_flags(struct graph_step *step, const json_t *object)
+{
+	return get_flag(object, "checkpoints", &step->checkpoints) &&
+	    get_flag(object, "gang", &step->gang) &&
+	    get_flag(object, "one_rack", &step->one_rack) &&
+	    get_flag(object, "copies", &step->copies) &&
+	    get_flag(object, "lasts", &step->lasts) &&
+	    get_flag(object, "filler", &step->filler);
+}
+
+static bool
+read_step(struct graph_step *step, const json_t *object)
+{
+	return json_is_object(object) && read_size(step, object) &&
+	    read_after(step, json_object_get(object, "after")) &&
+	    read_flags(step, object) &&
+	    get_count(object, "per_worker", &step->per_worker) &&
+	    get_count(object, "may_be_away", &step->may_be_away) &&
+	    get_number(object, "tail_ms", &step->tail_target_ms) &&
+	    get_text(object, "label", step->label, sizeof(step->label)) &&
+	    get_text(object, "rack", step->rack, sizeof(step->rack)) &&
+	    get_text(object, "image", step->image, sizeof(step->image));
 }
 
 /* Rows [occurrence, step, index, ...] of the tasks worth keeping. */
@@ -319,7 +360,9 @@
 static uint32_t
 cell(const json_t *row, size_t column)
 {
-	return (uint32_t)json_integer_value(json_array_get(row, column));
+	uint32_t value;
+
+	return json_count(json_array_get(row, column), &value) ? value : 0;
 }
 
 static void
@@ -333,17 +376,76 @@
 		sched_load_task(job, k, step, i, true);
 }
 
-int
-codec_read_progress(struct sched_job *job, const char *text, size_t len)
+/* A list of rows that begin with so many whole numbers; may be left out. */
+static bool
+are_rows(const json_t *list, size_t columns)
+{
+	const json_t *row;
+	uint32_t number;
+	size_t i, j;
+
+	if (list != NULL && !json_is_array(list))
+		return false;
+	json_array_foreach(list, i, row)
+	{
+		for (j = 0; j < columns; j++) {
+			if (!json_count(json_array_get(row, j), &number))
+				return false;
+		}
+	}
+	return true;
+}
+
+static bool
+are_numbers(const json_t *list)
 {
-	json_t *object, *row;
-	const char *checkpoint;
+	const json_t *row;
+	uint32_t number;
+	size_t i;
+
+	if (list != NULL && !json_is_array(list))
+		return false;
+	json_array_foreach(list, i, row)
+	{
+		if (!json_count(row, &number))
+			return false;
+	}
+	return true;
+}
+
+/* Looked through whole first: half applied, tasks would count as done. */
+static bool
+is_progress(const json_t *object)
+{
+	const json_t *row, *checkpoints;
+	size_t i;
+
+	checkpoints = json_object_get(object, "checkpoints");
+	json_array_foreach(checkpoints, i, row)
+	{
+		if (!json_is_string(json_array_get(row, 3)))
+			return false;
+	}
+	return json_is_object(object) &&
+	    are_numbers(json_object_get(object, "occurrences")) &&
+	    are_rows(json_object_get(object, "steps"), 2) &&
+	    are_rows(json_object_get(object, "done"), 3) &&
+	    are_rows(json_object_get(object, "failures"), 4) &&
+	    are_rows(checkpoints, 3);
+}
+
+static void
+apply_progress(struct sched_job *job, const json_t *object)
+{
+	const json_t *row;
+	uint32_t number;
 	size_t i;
 
-	if ((object = json_loadb(text, len, 0, NULL)) == NULL)
-		return -1;
 	json_array_foreach(json_object_get(object, "occurrences"), i, row)
-	    sched_load_occurrence_done(job, (uint32_t)json_integer_value(row));
+	{
+		if (json_count(row, &number))
+			sched_load_occurrence_done(job, number);
+	}
 	json_array_foreach(json_object_get(object, "steps"), i, row)
 	    read_complete_step(job, cell(row, 0), cell(row, 1));
 	json_array_foreach(json_object_get(object, "done"), i, row)
@@ -353,14 +455,25 @@
 	    sched_load_failure(
 		job, cell(row, 0), cell(row, 1), cell(row, 2), cell(row, 3));
 	json_array_foreach(json_object_get(object, "checkpoints"), i, row)
-	{
-		checkpoint = json_string_value(json_array_get(row, 3));
-		if (checkpoint != NULL)
-			sched_load_checkpoint(job, cell(row, 0), cell(row, 1),
-			    cell(row, 2), checkpoint);
+	    sched_load_checkpoint(job, cell(row, 0), cell(row, 1), cell(row, 2),
+		json_string_value(json_array_get(row, 3)));
+}
+
+int
+codec_read_progress(struct sched_job *job, const char *text, size_t len)
+{
+	json_t *object;
+	int result;
+
+	if ((object = json_loadb(text, len, 0, NULL)) == NULL)
+		return -1;
+	result = -1;
+	if (is_progress(object)) {
+		apply_progress(job, object);
+		result = 0;
 	}
 	json_decref(object);
-	return 0;
+	return result;
 }
 
 char *
@@ -404,9 +517,10 @@
 
 	if ((object = json_loadb(text, len, 0, NULL)) == NULL)
 		return 0;
-	ended_ms = get_number(object, "ended_ms");
+	if (!get_number(object, "ended_ms", &ended_ms))
+		ended_ms = 0;
 	json_decref(object);
-	return ended_ms > 0 ? ended_ms : 0;
+	return ended_ms;
 }
 
 json_t *
@@ -416,15 +530,12 @@
 	    (int)task->step, (int)task->index);
 }
 
-void
+bool
 codec_read_task(const json_t *row, size_t at, struct task_name *task)
 {
-	const char *job;
-
-	job = json_string_value(json_array_get(row, at));
-	strlcpy(task->job, job != NULL ? job : "", sizeof(task->job));
-	task->occurrence =
-	    (uint32_t)json_integer_value(json_array_get(row, at + 1));
-	task->step = (uint32_t)json_integer_value(json_array_get(row, at + 2));
-	task->index = (uint32_t)json_integer_value(json_array_get(row, at + 3));
+	return json_name(
+		   json_array_get(row, at), task->job, sizeof(task->job)) &&
+	    json_count(json_array_get(row, at + 1), &task->occurrence) &&
+	    json_count(json_array_get(row, at + 2), &task->step) &&
+	    json_count(json_array_get(row, at + 3), &task->index);
 }
--- a/entry/codec.h
+++ b/entry/codec.h
@@ -1,6 +1,7 @@
 #ifndef CODEC_H
 #define CODEC_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include <jansson.h>
@@ -16,8 +17,8 @@
 /* A task's name as a row of so many fields; NULL: no memory. */
 #define CODEC_TASK_FIELDS 4
 json_t *codec_task(const struct task_name *);
-/* The same from that column of a row on. */
-void codec_read_task(const json_t *row, size_t at, struct task_name *);
+/* The same from that column of a row on; false: it isn't one. */
+bool codec_read_task(const json_t *row, size_t at, struct task_name *);
 
 /* Freed by the caller; NULL: no memory, or text that isn't UTF-8. */
 char *codec_graph(const struct graph *, size_t *len);
--- a/entry/election.c
+++ b/entry/election.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "jsonfield.h"
 #include "log.h"
 #include "node_int.h"
 
@@ -16,31 +17,45 @@
 static void on_pulse(const struct kv_result *, void *);
 static void on_taken(const struct kv_result *, void *);
 
-static int
+/* false: another writer's. */
+static bool
 decode_leader(const struct kv_item *item, struct elect_leader *leader)
 {
-	const char *id, *address;
+	int64_t incarnation, term;
 	json_t *object;
-	int result;
+	bool result;
 
-	result = -1;
 	memset(leader, 0, sizeof(*leader));
-	if ((object = json_loadb(item->value, item->len, 0, NULL)) == NULL)
-		return -1;
-	id = json_string_value(json_object_get(object, "id"));
-	address = json_string_value(json_object_get(object, "address"));
-	if (id != NULL && address != NULL &&
-	    strlcpy(leader->id, id, sizeof(leader->id)) < sizeof(leader->id) &&
-	    strlcpy(leader->address, address, sizeof(leader->address)) <
-		sizeof(leader->address))
-		result = 0;
-	leader->incarnation = (uint64_t)json_integer_value(
-	    json_object_get(object, "incarnation"));
-	leader->term =
-	    (uint64_t)json_integer_value(json_object_get(object, "term"));
-	leader->revision = item->revision;
+	object = json_loadb(item->value, item->len, 0, NULL);
+	result = json_name(json_object_get(object, "id"), leader->id,
+		     sizeof(leader->id)) &&
+	    json_name(json_object_get(object, "address"), leader->address,
+		sizeof(leader->address)) &&
+	    json_whole(json_object_get(object, "incarnation"), 0, INT64_MAX,
+		&incarnation) &&
+	    json_whole(json_object_get(object, "term"), 1, INT64_MAX, &term);
 	json_decref(object);
-	return result;
+	if (!result)
+		return false;
+	leader->incarnation = (uint64_t)incarnation;
+	leader->term = (uint64_t)term;
+	return true;
+}
+
+/*
+ * A record that can't be read names no leader.  Its revision is still what a
+ * takeover replaces: held to be unreadable, it would keep all from leading.
+ */
+static void
+read_leader(
+    struct node *node, const struct kv_item *item, struct elect_record *record)
+{
+	record->found = true;
+	if (!decode_leader(item, &record->leader)) {
+		memset(&record->leader, 0, sizeof(record->leader));
+		refused_note(&node->refused, KEY_LEADER, "not_a_leader");
+	}
+	record->leader.revision = item->revision;
 }
 
 void
@@ -68,15 +83,8 @@
 	node = reading->node;
 	if (result->error != KV_OK)
 		goto fail;
-	if (result->nitems > 0) {
-		reading->record.found = true;
-		if (decode_leader(&result->items[0], &reading->record.leader) ==
-		    -1) {
-			log_error(
-			    "leader_record_damaged", "key=%s", KEY_LEADER);
-			goto fail;
-		}
-	}
+	if (result->nitems > 0)
+		read_leader(node, &result->items[0], &reading->record);
 	node->opt.kv.get(node->opt.kv.self, KEY_PULSE, on_pulse, reading);
 	return;
 
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -387,6 +387,8 @@
 	if ((config = l->node->config) == NULL)
 		return;
 	load_check(l);
+	/* Workers of a service that wasn't named before may be used now. */
+	l->workers_reread = true;
 	for (i = 0; i < config->nqueues; i++) {
 		from = &config->queues[i];
 		queue = sched_queue_get(l->sched, from->name, &from->terms);
@@ -442,21 +444,37 @@
 {
 	struct stored_job stored = { item->value, item->len, item->revision };
 
-	return lead_add_job(l, &stored, inherited);
+	return lead_add_job(l, item->key + strlen(KEY_JOB), &stored, inherited);
+}
+
+/* Another writer's entry under our prefix names no job, or another one. */
+static struct graph *
+read_job(struct lead *l, const char *id, const struct stored_job *stored)
+{
+	struct graph *graph;
+	char key[KEY_MAX];
+
+	graph = codec_read_graph(stored->text, stored->len);
+	if (graph != NULL && strcmp(graph->id, id) == 0)
+		return graph;
+	snprintf(key, sizeof(key), KEY_JOB "%s", id);
+	refused_note(
+	    &l->node->refused, key, graph == NULL ? "not_a_job" : "id");
+	graph_free(graph);
+	return NULL;
 }
 
 struct sched_job *
-lead_add_job(struct lead *l, const struct stored_job *stored, bool inherited)
+lead_add_job(struct lead *l, const char *id, const struct stored_job *stored,
+    bool inherited)
 {
 	struct sched_job *job;
 	int64_t now_ms, age_ms;
 	struct saved *saved;
 	struct graph *graph;
 
-	if ((graph = codec_read_graph(stored->text, stored->len)) == NULL) {
-		log_error("job_damaged", "bytes=%zu", stored->len);
+	if ((graph = read_job(l, id, stored)) == NULL)
 		return NULL;
-	}
 	job = sched_job_find(l->sched, graph->id);
 	if (job != NULL && !job->absent) {
 		graph_free(graph);
--- a/entry/lead_fleet.c
+++ b/entry/lead_fleet.c
@@ -2,7 +2,6 @@
 #include <string.h>
 
 #include "clock.h"
-#include "counter.h"
 #include "log.h"
 #include "lead_int.h"
 
@@ -18,6 +17,31 @@
 /* A watch may go deaf: the whole list is read so often. */
 #define REREAD_MS 4000
 
+static void
+worker_left(struct lead *l, const char *id, int64_t now_ms)
+{
+	struct sched_worker *worker;
+
+	worker = sched_worker_find(l->sched, id);
+	if (worker == NULL || !worker->listed)
+		return;
+	log_info("worker_unlisted", "worker=%s silent_ms=%lld", id,
+	    (long long)(now_ms - worker->heard_ms));
+	sched_worker_unlisted(l->sched, worker, now_ms);
+}
+
+/* An entry of another writer, in place of one that may have been a worker's. */
+static void
+refuse_worker(struct lead *l, const char *key, int64_t now_ms)
+{
+	const struct world_ops *world;
+	const char *id;
+
+	world = &l->node->opt.world;
+	if ((id = world->worker_id(world->self, key)) != NULL)
+		worker_left(l, id, now_ms);
+}
+
 void
 fleet_worker(struct lead *l, const char *key, const char *value, size_t len,
     int64_t now_ms)
@@ -29,7 +53,7 @@
 	memset(&info, 0, sizeof(info));
 	if (!l->node->opt.world.worker(
 		l->node->opt.world.self, key, value, len, &info)) {
-		counter_reason("lagoonpin_worker_refused", "not_valid");
+		refuse_worker(l, key, now_ms);
 		return;
 	}
 	if ((worker = sched_worker_get(l->sched, info.id)) == NULL)
@@ -49,19 +73,6 @@
 	    l->sched, worker, &info.capacity, info.draining, leaves_ms, now_ms);
 }
 
-static void
-worker_left(struct lead *l, const char *id, int64_t now_ms)
-{
-	struct sched_worker *worker;
-
-	worker = sched_worker_find(l->sched, id);
-	if (worker == NULL || !worker->listed)
-		return;
-	log_info("worker_unlisted", "worker=%s silent_ms=%lld", id,
-	    (long long)(now_ms - worker->heard_ms));
-	sched_worker_unlisted(l->sched, worker, now_ms);
-}
-
 void
 fleet_begin(struct lead *l)
 {
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -118,7 +118,7 @@
 void lead_let_go(struct lead *);
 /* The job is new to us; inherited: stored before our term. */
 struct sched_job *lead_add_job(
-    struct lead *, const struct stored_job *, bool inherited);
+    struct lead *, const char *id, const struct stored_job *, bool inherited);
 /* An item of the store under KEY_JOB. */
 struct sched_job *lead_add_item(
     struct lead *, const struct kv_item *, bool inherited);
--- a/entry/lead_load.c
+++ b/entry/lead_load.c
@@ -162,6 +162,16 @@
 	part_end(part);
 }
 
+/* Another writer's: the job begins anew, and our writes replace it. */
+static void
+refuse_progress(struct lead *l, const char *job)
+{
+	char key[KEY_MAX];
+
+	snprintf(key, sizeof(key), KEY_PROGRESS "%s", job);
+	refused_note(&l->node->refused, key, "not_progress");
+}
+
 static void
 apply_progress(struct lead *l)
 {
@@ -179,8 +189,7 @@
 			saved->revision = progress->revision;
 			if (codec_read_progress(
 				job, progress->text, progress->len) == -1)
-				log_error("progress_damaged", "job=%s",
-				    progress->job);
+				refuse_progress(l, progress->job);
 		}
 		free(progress->text);
 		free(progress);
--- a/entry/lead_record.c
+++ b/entry/lead_record.c
@@ -2,6 +2,8 @@
 #include <string.h>
 
 #include "clock.h"
+#include "counter.h"
+#include "jsonfield.h"
 #include "log.h"
 #include "lead_int.h"
 
@@ -72,39 +74,56 @@
 	from->ntasks = json_array_size(list);
 	json_array_foreach(list, i, row)
 	{
-		if (json_array_size(row) < CODEC_TASK_FIELDS)
+		if (!codec_read_task(row, 0, &tasks[i]))
 			return false;
-		codec_read_task(row, 0, &tasks[i]);
 	}
 	return true;
 }
 
+/* The worker of a row; NULL: another writer's, which names none. */
+static struct sched_worker *
+load_worker(struct lead *l, const json_t *row)
+{
+	struct sched_worker *worker;
+	char id[SCHED_WORKER_ID_MAX];
+	const char *address;
+
+	address = json_string_value(json_array_get(row, 1));
+	if (!json_name(json_array_get(row, 0), id, sizeof(id)) ||
+	    address == NULL || strlen(address) >= sizeof(worker->address))
+		return NULL;
+	if ((worker = sched_worker_get(l->sched, id)) == NULL) {
+		/* Unasked, it may run what we would start again. */
+		log_error("load_memory", "worker=%s", id);
+		abort();
+	}
+	strlcpy(worker->address, address, sizeof(worker->address));
+	return worker;
+}
+
 static void
 load_row(struct lead *l, const json_t *row, int64_t now_ms)
 {
 	struct sched_inherited from;
 	struct sched_worker *worker;
 	struct task_name *tasks;
-	const char *id, *address;
-	uint64_t term;
+	int64_t term, left_ms;
 
 	tasks = NULL;
-	id = json_string_value(json_array_get(row, 0));
-	address = json_string_value(json_array_get(row, 1));
-	if (id == NULL || address == NULL ||
-	    (worker = sched_worker_get(l->sched, id)) == NULL) {
-		log_error("worker_record_row", "id=%s", id != NULL ? id : "-");
-		abort();
+	if ((worker = load_worker(l, row)) == NULL) {
+		refused_note(&l->node->refused, KEY_WORKERS, "row");
+		return;
 	}
-	strlcpy(worker->address, address, sizeof(worker->address));
 	memset(&from, 0, sizeof(from));
 	from.record = RECORD_IN_USE;
-	term = (uint64_t)json_integer_value(json_array_get(row, 2));
-	if (json_array_size(row) > 3 && term + 1 >= l->sched->opt.term &&
+	if (json_array_size(row) > 3 &&
+	    json_whole(json_array_get(row, 2), 0, INT64_MAX - 1, &term) &&
+	    (uint64_t)term + 1 >= l->sched->opt.term &&
+	    json_whole_or(json_array_get(row, 4), 0, INT32_MAX, 0, &left_ms) &&
 	    load_tasks(json_array_get(row, 3), &from, &tasks)) {
 		from.record =
 		    json_array_size(row) > 4 ? RECORD_EXPIRING : RECORD_CLOSED;
-		from.left_ms = json_integer_value(json_array_get(row, 4));
+		from.left_ms = left_ms;
 		l->record_dirty = true;
 	}
 	sched_worker_inherit(worker, &from, now_ms);
@@ -122,10 +141,11 @@
 		return;
 	now_ms = clock_now_ms();
 	l->record_revision = item->revision;
-	if ((list = json_loadb(item->value, item->len, 0, NULL)) == NULL) {
-		/* Unasked, its workers may run what we would start again. */
-		log_error("worker_record_damaged", "key=%s", item->key);
-		abort();
+	list = json_loadb(item->value, item->len, 0, NULL);
+	if (!json_is_array(list)) {
+		refused_note(&l->node->refused, item->key, "not_json");
+		sched_record_lost(l->sched);
+		l->record_dirty = true;
 	}
 	json_array_foreach(list, i, row)
 	{
--- a/entry/lead_request.c
+++ b/entry/lead_request.c
@@ -138,7 +138,10 @@
 	}
 	if (codec_read_ended(
 		result->items[0].value, result->items[0].len, &state) == -1) {
-		log_error("ended_damaged", "job=%s", lookup->job);
+		/* Another writer's entry: nothing else knows the job. */
+		refused_note(
+		    &l->node->refused, result->items[0].key, "not_an_end");
+		answer(lookup, NODE_UNKNOWN_JOB, JOB_QUEUED);
 		goto out;
 	}
 	job = known_job(l, lookup->job);
@@ -308,7 +311,7 @@
 	local.ctx = ctx;
 	job = known_job(l, id);
 	if (job == NULL && kind == ASK_JOB && is_new(l, stored)) {
-		job = lead_add_job(l, stored, false);
+		job = lead_add_job(l, id, stored, false);
 		lead_kick(l);
 	}
 	if (job != NULL) {
--- a/entry/node.c
+++ b/entry/node.c
@@ -31,6 +31,7 @@
 	node->incarnation = (uint64_t)clock_wall_ms();
 	TAILQ_INIT(&node->asks);
 	TAILQ_INIT(&node->answers);
+	refused_init(&node->refused, "lagoonpin_record_refused");
 	if ((node->accept = accept_open(node)) == NULL)
 		goto fail;
 	if ((*error = members_open(node)) != NODE_OK)
@@ -181,8 +182,10 @@
 	struct node *node;
 
 	node = handle->data;
-	if (--node->open_handles == 0)
-		free(node);
+	if (--node->open_handles > 0)
+		return;
+	refused_free(&node->refused);
+	free(node);
 }
 
 static void
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -10,6 +10,7 @@
 #include "elect.h"
 #include "node.h"
 #include "peer.h"
+#include "refused.h"
 
 /* Shared by the files of an entry; not for its users. */
 
@@ -106,6 +107,7 @@
 	struct lead *lead; /* NULL: not leading */
 	struct accept *accept;
 	struct answers_list answers; /* of workers, for leaders */
+	struct refused refused; /* other writers' entries in our place */
 	uv_timer_t reply_timer;
 	/* configuration */
 	int64_t config_version; /* 0: none yet */
--- /dev/null
+++ b/lib/jsonfield.c
@@ -0,0 +1,61 @@
+#include <math.h>
+#include <string.h>
+
+#include "jsonfield.h"
+
+/* Up to here each whole number has a double of its own. */
+#define EXACT_MAX 9007199254740992.0 /* 2^53 */
+
+/* A real number that is whole, such as 3.0. */
+static bool
+whole_real(double real, int64_t *value)
+{
+	if (!(fabs(real) <= EXACT_MAX) || floor(real) != real)
+		return false;
+	*value = (int64_t)real;
+	return true;
+}
+
+bool
+json_whole(const json_t *field, int64_t min, int64_t max, int64_t *value)
+{
+	int64_t number;
+
+	if (json_is_integer(field))
+		number = json_integer_value(field);
+	else if (!json_is_real(field) ||
+	    !whole_real(json_real_value(field), &number))
+		return false;
+	if (number < min || number > max)
+		return false;
+	*value = number;
+	return true;
+}
+
+bool
+json_whole_or(const json_t *field, int64_t min, int64_t max, int64_t fallback,
+    int64_t *value)
+{
+	*value = fallback;
+	return field == NULL || json_whole(field, min, max, value);
+}
+
+bool
+json_count(const json_t *field, uint32_t *value)
+{
+	int64_t number;
+
+	if (!json_whole(field, 0, UINT32_MAX, &number))
+		return false;
+	*value = (uint32_t)number;
+	return true;
+}
+
+bool
+json_name(const json_t *field, char *buf, size_t size)
+{
+	if (!json_is_string(field) || json_string_length(field) == 0 ||
+	    json_string_length(field) != strlen(json_string_value(field)))
+		return false;
+	return strlcpy(buf, json_string_value(field), size) < size;
+}
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -640,11 +640,13 @@
 		return &Self(ctx)->config;
 	}
 	static bool
-	WorkerEntry(void *ctx, const char *key, const char *, size_t,
+	WorkerEntry(void *ctx, const char *key, const char *value, size_t len,
 	    struct worker_info *info)
 	{
 		const char *id = key + strlen("w/");
 
+		if (std::string(value, len) != id)
+			return false; // of another writer
 		strlcpy(info->id, id, sizeof(info->id));
 		strlcpy(info->service, "s", sizeof(info->service));
 		info->capacity = { 8000, 8000, 0 };
--- /dev/null
+++ b/tests/test_foreign.cc
@@ -0,0 +1,283 @@
+// What other writers put into the store, and what damaged workers answer:
+// each kind names no worker to use and leaves the others usable.
+
+#include <unistd.h>
+
+#include <cstring>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "counter.h"
+#include "items.h"
+#include "report.h"
+#include "sitefile.h"
+#include "world.h"
+}
+
+namespace {
+
+const char kGood[] =
+    "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
+    "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+    "\"cold_remaining_ms\":0,\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,"
+    "\"gpus\":0},\"labels\":[\"a\",\"r1-3\"],\"sequence\":4}";
+const char kConfig[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+    "\"prefix\":\"/p/\",\"service\":\"s\",\"max_attempts\":4}],"
+    "\"services\":[{\"name\":\"t\"}]}";
+const char kItem[] =
+    "{\"key\":\"servers/i\",\"value\":\"bm9kZS0x\",\"revision\":4}";
+const char kReport[] =
+    "{\"clock_ms\":482113,\"running\":[[\"5c0e.0.1.17\",2,\"0b\",41,7]],"
+    "\"finished\":[[58,\"5c0e.0.1.9\",1,\"done\",\"\"]]}";
+
+class Foreign : public ::testing::Test {
+      protected:
+	void
+	SetUp() override
+	{
+		counter_reset();
+		world = platform_world_open();
+		platform_world_ops(world, &ops);
+		refused_init(&refused, "test_refused");
+	}
+
+	void
+	TearDown() override
+	{
+		platform_world_close(world);
+		refused_free(&refused);
+	}
+
+	bool
+	Worker(const std::string &key, const std::string &text)
+	{
+		struct worker_info info;
+
+		memset(&info, 0, sizeof(info));
+		return ops.worker(
+		    ops.self, key.c_str(), text.data(), text.size(), &info);
+	}
+
+	// kGood with one part replaced.
+	static std::string
+	With(const std::string &part, const std::string &other)
+	{
+		std::string text = kGood;
+		size_t at = text.find(part);
+
+		EXPECT_NE(at, std::string::npos) << part;
+		return text.replace(at, part.size(), other);
+	}
+
+	static uint64_t
+	Refused(const std::string &reason)
+	{
+		return counter_value(counter_get("lagoonpin_worker_refused",
+		    ("reason=\"" + reason + "\"").c_str()));
+	}
+
+	struct platform_world *world;
+	struct world_ops ops;
+	struct refused refused;
+};
+
+std::string
+Mutate(std::mt19937 &random, std::string text)
+{
+	static const char bytes[] = "{}[]\",:0123456789-eE.\\u\0\xff ";
+
+	for (unsigned n = 1 + random() % 4; n > 0 && !text.empty(); n--) {
+		size_t at = random() % text.size();
+		switch (random() % 4) {
+		case 0:
+			text[at] = bytes[random() % (sizeof(bytes) - 1)];
+			break;
+		case 1:
+			text.erase(at, 1 + random() % 8);
+			break;
+		case 2:
+			text.insert(at, text.substr(at, random() % 16));
+			break;
+		case 3:
+			text.insert(at, "99999999999999999999");
+			break;
+		}
+	}
+	return text;
+}
+
+bool
+ReadReport(const std::string &text)
+{
+	json_t *body = json_loadb(text.data(), text.size(), 0, nullptr);
+	struct report report;
+	bool read = report_read(body, &report);
+
+	report_free(&report);
+	json_decref(body);
+	return read;
+}
+
+} // namespace
+
+TEST_F(Foreign, AnEntryThatLacksAFieldNamesNoWorker)
+{
+	EXPECT_FALSE(Worker("servers/a", With("\"service\":\"s\",", "")));
+	EXPECT_FALSE(
+	    Worker("servers/b", With("\"address\":\"127.0.0.1:1\",", "")));
+	EXPECT_FALSE(Worker("servers/c", With("\"zone\":\"z\",", "")));
+	EXPECT_FALSE(Worker("servers/d", With("\"state\":\"ready\",", "")));
+	EXPECT_FALSE(Worker("servers/e", With("\"cpu\":16000,", "")));
+	EXPECT_FALSE(Worker("servers/f", With("\"mem_mb\":32768,", "")));
+	EXPECT_TRUE(Worker("servers/good", kGood));
+	EXPECT_EQ(Refused("capacity"), 2u);
+}
+
+TEST_F(Foreign, AFieldOfAnotherTypeNamesNoWorker)
+{
+	static const char *const numbers[] = { "-1", "1.5", "1e300", "\"8\"",
+		"null", "true", "[]", "4294967296" };
+
+	for (const char *number : numbers) {
+		EXPECT_FALSE(Worker("servers/a",
+		    With("\"cpu\":16000", std::string("\"cpu\":") + number)))
+		    << number;
+		EXPECT_FALSE(Worker("servers/b",
+		    With("\"gpus\":0", std::string("\"gpus\":") + number)))
+		    << number;
+	}
+	EXPECT_FALSE(Worker("servers/c", With("\"s\"", "7")));
+	EXPECT_FALSE(Worker("servers/d", With("\"127.0.0.1:1\"", "{}")));
+	EXPECT_FALSE(Worker("servers/e", With("[\"a\",\"r1-3\"]", "\"a\"")));
+	EXPECT_FALSE(Worker("servers/f", With("\"a\"", "3")));
+	EXPECT_FALSE(Worker("servers/g", With("\"slots\":8", "\"slots\":-8")));
+	EXPECT_FALSE(Worker("servers/h", With("\"v1\"", "1")));
+	EXPECT_TRUE(Worker("servers/good", kGood));
+}
+
+TEST_F(Foreign, AStateOrServiceThatIsNotNamedNamesNoWorker)
+{
+	EXPECT_FALSE(Worker("servers/a", With("\"ready\"", "\"asleep\"")));
+	EXPECT_EQ(Refused("state"), 1u);
+	// Which services there are is known with the configuration.
+	EXPECT_TRUE(Worker("servers/b", With("\"s\"", "\"u\"")));
+	ASSERT_NE(ops.config(ops.self, "op/config", kConfig, strlen(kConfig)),
+	    nullptr);
+	EXPECT_FALSE(Worker("servers/b", With("\"s\"", "\"u\"")));
+	EXPECT_EQ(Refused("service_unknown"), 1u);
+	EXPECT_TRUE(Worker("servers/good", kGood));
+	EXPECT_TRUE(Worker("servers/too", With("\"s\"", "\"t\"")));
+}
+
+TEST_F(Foreign, BytesThatAreNoJsonNameNoWorker)
+{
+	EXPECT_FALSE(Worker("servers/a", ""));
+	EXPECT_FALSE(Worker("servers/b", "\xff\xfe"));
+	EXPECT_FALSE(Worker("servers/c", "[]"));
+	EXPECT_FALSE(Worker("servers/", kGood));
+	EXPECT_TRUE(Worker("servers/good", kGood));
+	EXPECT_EQ(Refused("not_json"), 3u);
+	EXPECT_EQ(Refused("id"), 1u);
+	// Read again with the whole list, it isn't news.
+	EXPECT_FALSE(Worker("servers/a", ""));
+	EXPECT_EQ(Refused("not_json"), 3u);
+}
+
+// One item whose bytes can't be read, in a list or a watch: it is handed on
+// without any, and the others as they are.
+TEST_F(Foreign, AnItemThatCannotBeReadLeavesTheOthers)
+{
+	const char text[] =
+	    "[{\"key\":\"a\",\"value\":\"*!\",\"revision\":1},"
+	    "{\"key\":\"b\",\"value\":7,\"revision\":2},"
+	    "{\"value\":\"bm9kZS0x\",\"revision\":3},7,"
+	    "{\"key\":\"d\",\"value\":\"bm9kZS0x\",\"revision\":-4},"
+	    "{\"key\":\"e\",\"revision\":5,\"tombstone\":true},"
+	    "{\"key\":\"f\",\"value\":\"bm9kZS0x\",\"revision\":6}]";
+	json_t *list = json_loads(text, 0, nullptr);
+	size_t n;
+	struct kv_item *items = items_read(&refused, list, &n);
+
+	ASSERT_EQ(n, 4u);
+	EXPECT_STREQ(items[0].key, "a");
+	EXPECT_EQ(items[0].len, 0u);
+	ASSERT_NE(items[0].value, nullptr);
+	EXPECT_EQ(items[1].len, 0u);
+	EXPECT_EQ(items[2].value, nullptr);
+	EXPECT_STREQ(items[3].value, "node-1");
+	items_free(items, n);
+	json_decref(list);
+}
+
+// A row that can't be understood may be a task that runs: taken for none, it
+// would be started a second time.  So the worker has told nothing.
+TEST_F(Foreign, AReportWithADamagedRowSaysNothing)
+{
+	EXPECT_TRUE(ReadReport(kReport));
+	EXPECT_TRUE(ReadReport("{\"running\":[],\"finished\":[]}"));
+	for (const char *row : { "7", "[]", "[\"x\",1,\"\",0]",
+		 "[\"5c0e.0.1.17\",-1,\"\",0]", "[\"5c0e.0.1.17\",1.5,\"\",0]",
+		 "[\"5c0e.0.1.17\",1,\"\",-3]", "[\"5c0e.0.1.17\",1,\"\",101]",
+		 "[\"5c0e.0.1.17\",4294967296,\"\",0]" })
+		EXPECT_FALSE(ReadReport(
+		    std::string("{\"running\":[") + row + "],\"finished\":[]}"))
+		    << row;
+	for (const char *row :
+	    { "[0,\"5c0e.0.1.9\",1,\"done\",\"\"]",
+		"[-1,\"5c0e.0.1.9\",1,\"done\",\"\"]",
+		"[1,\"5c0e.0.1.9\",1,\"over\",\"\"]", "[1,7,1,\"done\",\"\"]" })
+		EXPECT_FALSE(ReadReport(
+		    std::string("{\"running\":[],\"finished\":[") + row + "]}"))
+		    << row;
+	EXPECT_FALSE(ReadReport("{\"running\":7,\"finished\":[]}"));
+}
+
+TEST_F(Foreign, NoBytesEndTheProcess)
+{
+	std::mt19937 random(4);
+
+	for (int i = 0; i < 20000; i++) {
+		std::string text = "[" + Mutate(random, kItem) + "]";
+		json_t *list = json_loadb(text.data(), text.size(), 0, nullptr);
+		size_t n;
+		struct kv_item *items = items_read(&refused, list, &n);
+		items_free(items, n);
+		json_decref(list);
+		ReadReport(Mutate(random, kReport));
+		Worker("servers/i", Mutate(random, kGood));
+	}
+}
+
+TEST_F(Foreign, NoSettingsEndTheProcess)
+{
+	static const char settings[] =
+	    "{\"node_name\":\"n\",\"ip\":\"127.0.0.1\",\"zone\":\"z\","
+	    "\"listen\":{\"front\":\"127.0.0.1:1\",\"ready_addr\":"
+	    "\"127.0.0.1:2\"},\"platform\":{\"address\":\"127.0.0.1:3\"},"
+	    "\"internal_ports\":[7720,7735],\"limits\":{\"cpu_share\":0.5},"
+	    "\"bounds\":{\"max_hold_ms\":6000,\"status_s\":120,"
+	    "\"harm_ms\":4000,\"grace_s\":6}}";
+	char path[] = "/tmp/lagoonpin-settings-XXXXXX";
+	struct platform_settings s;
+	std::mt19937 random(5);
+	const char *field;
+	int fd = mkstemp(path);
+
+	ASSERT_NE(fd, -1);
+	for (int i = 0; i < 2000; i++) {
+		std::string text = i == 0 ? settings : Mutate(random, settings);
+		ASSERT_EQ(ftruncate(fd, 0), 0);
+		ASSERT_EQ(pwrite(fd, text.data(), text.size(), 0),
+		    static_cast<ssize_t>(text.size()));
+		enum sitefile_error error = sitefile_load(path, &s, &field);
+		EXPECT_TRUE(i > 0 || error == SITEFILE_OK) << field;
+		EXPECT_TRUE(error != SITEFILE_ERR_FIELD || field[0] != '\0');
+	}
+	close(fd);
+	unlink(path);
+}
--- a/tests/test_handover.cc
+++ b/tests/test_handover.cc
@@ -67,6 +67,71 @@
 	EXPECT_EQ(Running(), 1u);
 }
 
+// Callers see their job go on after a restart of all entries, though another
+// writer has put entries of its own under our keys meanwhile: a job that can't
+// be read, one with another job's name, progress that says what nobody said,
+// rows of the record that name no worker.  Each was taken for ours, or ended
+// the process that read it.
+TEST_F(Handover, EntriesOfOtherWritersEndNoTakeover)
+{
+	RunOnFirst(2);
+	ASSERT_EQ(Running(), 2u);
+	std::string record = items["lp/workers"].value;
+	ASSERT_EQ(record.front(), '[');
+	Close();
+	Put("lp/workers",
+	    "[7,[1,2],[\"x\"],[\"\",\"\"],[\"y\",\"z\",-1,[[\"j\"]],-5]," +
+		record.substr(1));
+	Put("lp/j/foreign", "{\"id\":\"foreign\",\"steps\":7}");
+	Put("lp/j/other", items["lp/j/job"].value);
+	Put("lp/j/empty", "");
+	Put("lp/p/foreign", "[]");
+	Put("lp/p/job", "{\"done\":[[0,0,1.5]],\"steps\":[[0,0]]}");
+	Put("lp/e/foreign", "{\"state\":7}");
+	Put("w/foreign", "not a worker");
+	Open();
+	Pass(4000);
+	EXPECT_EQ(Running(), 2u);
+	EXPECT_EQ(doubles, 0);
+	EXPECT_LT(longest_away, 1000);
+	EXPECT_EQ(workers["foreign"].runs.size(), 0u);
+}
+
+// The record of workers itself can't be read.  A worker that only it named may
+// run tasks until its lease is over, so these wait that long and no longer.
+TEST_F(Handover, AnUnreadableRecordHoldsTasksForALease)
+{
+	int64_t away;
+
+	RunOnFirst(2);
+	Pass(1000);
+	CutOff("first");
+	Close();
+	Put("lp/workers", "{");
+	AddWorker("second");
+	Open();
+	for (away = 0; away < 2 * kAwayMax && workers["second"].runs.size() < 2;
+	     away += kStep)
+		Step();
+	EXPECT_EQ(doubles, 0);
+	EXPECT_GE(away, kLease);
+	EXPECT_LT(away, kAwayMax);
+}
+
+// The record of the leader can't be read: another writer has replaced it.  The
+// entries that start next still find one to lead them.
+TEST_F(Handover, AnUnreadableLeaderIsReplaced)
+{
+	RunOnFirst(2);
+	Close();
+	Put("lp/leader", "\xff\xfe");
+	Open();
+	Pass(8000);
+	EXPECT_EQ(Running(), 2u);
+	EXPECT_EQ(doubles, 0);
+	EXPECT_NE(items["lp/leader"].value.find("\"term\""), std::string::npos);
+}
+
 // The same, but the worker was only cut off and runs the tasks until its
 // lease is over: nothing may be started elsewhere before.
 TEST_F(Handover, NothingRunsTwiceThoughLeadersFollowEachOther)
