Pace the leader's link: starts, calm looks and progress wait for what it bears

Cause: once beats and orders were smaller, the writes of progress were the largest part of what a leader sent over 2 Mbit/s (60 to 110 KB/s of 250): each end wrote the checkpoints of all running tasks of its job, and each pulse what was learnt of fillers. Orders took 200 to 600 ms, their answers were given up on (500 to 800 a second) and sent again.

A token bucket by the link of the settings (core/pacer): looks of calm workers and progress wait while it is in debt, starts after 200 ms of debt, so that they queue in the order of the jobs and not in the link. Checkpoints of running tasks aren't saved: their workers list newer ones. What was learnt has a key of its own.

--- a/core/sched.c
+++ b/core/sched.c
@@ -23,6 +23,7 @@
 	TAILQ_INIT(&s->ending);
 	TAILQ_INIT(&s->queues);
 	s->next_serial = 1;
+	s->starts_allowed = UINT32_MAX;
 	use_init(s);
 	if ((s->press = press_new()) == NULL) {
 		free(s);
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -30,6 +30,8 @@
  * 0.6 s and cost it the lead.  The figure itself is chosen with reserve.
  */
 #define LOOKS_PER_MS 1000
+/* The link takes no starts now: it is asked again after so long. */
+#define LINK_RETRY_MS 5
 /* Waiting tasks are tried again at least so often, in milliseconds. */
 #define PLACE_EVERY_MS 50
 
@@ -45,6 +47,7 @@
 	int64_t now_ms;
 	uint64_t looked; /* workers looked at in this pass */
 	uint32_t started;
+	uint32_t starts_max; /* of this pass */
 	struct placing_miss misses[MISSES_MAX];
 	size_t nmisses;
 };
@@ -355,7 +358,7 @@
 		}
 		if (inherit_holds(p->s, task))
 			continue;
-		if (p->started >= STARTS_MAX)
+		if (p->started >= p->starts_max)
 			return;
 		if (!place_task(p, task)) {
 			note_miss(p, step);
@@ -396,6 +399,11 @@
 			sched_due(s, s->place_gap_ms);
 		return;
 	}
+	if (s->starts_allowed == 0) {
+		s->place_wanted = true;
+		sched_due(s, now_ms + LINK_RETRY_MS);
+		return;
+	}
 	s->place_ms = now_ms + PLACE_EVERY_MS;
 	s->place_wanted = false;
 	n = 0;
@@ -418,10 +426,12 @@
 	memset(&p, 0, sizeof(p));
 	p.s = s;
 	p.now_ms = now_ms;
-	for (i = 0; i < n && p.started < STARTS_MAX; i++)
+	p.starts_max =
+	    s->starts_allowed < STARTS_MAX ? s->starts_allowed : STARTS_MAX;
+	for (i = 0; i < n && p.started < p.starts_max; i++)
 		place_job(&p, jobs[i]);
 	/* What a gang took and gave back makes no more room than before. */
-	s->place_wanted = p.started >= STARTS_MAX;
+	s->place_wanted = p.started >= p.starts_max;
 	s->place_gap_ms = now_ms + 1 + (int64_t)(p.looked / LOOKS_PER_MS);
 	free(jobs);
 }
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -19,6 +19,8 @@
 #define LOOK_RETRY_MS INT64_C(100)
 /* With ends that can't be saved now, each look is answered at once. */
 #define LOOK_UNSAVED_MS 300
+/* The same where the link is full, and nothing at the worker is pressing. */
+#define LOOK_CALM_MS 800
 /* A worker's clock may run slower than ours, by 2 % and some reserve. */
 #define SLOW_CLOCK 1.03
 /* Reserve for the way of an order and for timers, in milliseconds. */
@@ -361,6 +363,18 @@
 	    LOOK_SHARED_MS;
 }
 
+/*
+ * Nothing there can't wait: where the link is full, its look comes later, and
+ * brings what ended meanwhile at once.
+ */
+static bool
+is_calm(const struct sched_worker *worker)
+{
+	return worker->fenced && worker->misses == 0 && worker->unneeded == 0 &&
+	    SLIST_EMPTY(&worker->strays) && worker->late_since_ms == 0 &&
+	    worker->pressure <= PRESSED && !worker->draining;
+}
+
 static void
 look_if_due(struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
@@ -369,6 +383,9 @@
 	if (worker->look_out || worker->dead)
 		return;
 	due_ms = worker->look_at_ms;
+	if (s->link_full && is_calm(worker) &&
+	    due_ms < worker->look_sent_ms + LOOK_CALM_MS)
+		due_ms = worker->look_sent_ms + LOOK_CALM_MS;
 	/* It would answer at once with the ends that it has told. */
 	if (!STAILQ_EMPTY(&worker->ends) &&
 	    due_ms < worker->look_sent_ms + LOOK_UNSAVED_MS)
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -410,6 +410,8 @@
 	uint32_t next_serial;
 	bool frozen; /* another may lead: renew and start nothing */
 	bool store_away; /* ends can't be saved: look less often */
+	uint32_t starts_allowed; /* by the link, in the next step */
+	bool link_full; /* calm workers are looked at less often */
 	bool most_silent; /* it is our link: the workers are left in use */
 	bool place_wanted;
 	int64_t place_ms; /* not again before, unless wanted */
--- a/entry/codec.c
+++ b/entry/codec.c
@@ -306,7 +306,12 @@
 		json_array_append_new(p->failures,
 		    json_pack(
 			"[iiiI]", k, step, index, (json_int_t)task->failed[i]));
-	if (task->checkpoint != NULL)
+	/*
+	 * While it runs its worker lists a newer one.  With those of all tasks
+	 * that run, each end of a wide step wrote some 30 bytes for each of
+	 * its tasks, and half of a leader's link of 2 Mbit/s was taken.
+	 */
+	if (task->checkpoint != NULL && TAILQ_EMPTY(&task->runs))
 		json_array_append_new(p->checkpoints,
 		    json_pack("[iiis]", k, step, index, task->checkpoint));
 }
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -8,10 +8,12 @@
 /* The leading entry: it schedules all jobs and answers for them. */
 
 /*
- * What was learnt goes to the store with the pulse, written down anew so often,
- * in milliseconds: as often as members are told.
+ * What was learnt goes to the store with a pulse so often, in milliseconds, as
+ * often as members are told; less often while our link is full: it is some 10
+ * KB, and what it says changes little.
  */
 #define LEARNT_EVERY_MS 2000
+#define LEARNT_FULL_MS 8000
 
 /*
  * What runs holds a lease of at most this: long enough for a takeover, which
@@ -35,6 +37,10 @@
 #define FOLLOWER_MS 1300
 /* Ticks come each 20 ms; after such a pause we were stopped meanwhile. */
 #define PAUSE_MS 500
+/* Starts go last: they may put the link into debt for so long. */
+#define START_DEBT_MS 200
+/* A start's order: names, and a payload of some hundred bytes. */
+#define START_BYTES 250
 /* A step follows the events of one turn of the loop by so long. */
 #define STEP_MS 1
 
@@ -126,19 +132,25 @@
 const char *
 lead_learnt_text(struct lead *l, int64_t now_ms)
 {
+	int64_t every_ms;
 	json_t *pairs;
 	char *text;
 
-	if (l->learnt_text != NULL && now_ms - l->learnt_ms < LEARNT_EVERY_MS)
-		return l->learnt_text;
+	every_ms = pacer_left(&l->node->link, now_ms) < 0 ? LEARNT_FULL_MS :
+							    LEARNT_EVERY_MS;
+	if (l->learnt_text != NULL && now_ms - l->learnt_ms < every_ms)
+		return NULL;
 	pairs = lead_learnt(l);
 	text = json_dumps(pairs, JSON_COMPACT | JSON_REAL_PRECISION(3));
 	json_decref(pairs);
-	if (text == NULL)
-		return l->learnt_text != NULL ? l->learnt_text : "[]";
+	l->learnt_ms = now_ms;
+	if (text == NULL ||
+	    (l->learnt_text != NULL && strcmp(text, l->learnt_text) == 0)) {
+		free(text);
+		return NULL;
+	}
 	free(l->learnt_text);
 	l->learnt_text = text;
-	l->learnt_ms = now_ms;
 	return text;
 }
 
@@ -277,6 +289,24 @@
 	l->sched->frozen = l->sched->store_away && !all_follow(l, now_ms);
 }
 
+/*
+ * Starts wait here, in the order in which they should go, rather than in the
+ * queue of the link, where beats and answers would wait behind them.
+ */
+static void
+set_budget(struct lead *l, int64_t now_ms)
+{
+	struct pacer *link;
+	double left;
+
+	link = &l->node->link;
+	left = pacer_left(link, now_ms);
+	l->sched->link_full = left < 0;
+	left += link->rate * START_DEBT_MS;
+	l->sched->starts_allowed =
+	    left > 0 ? 1 + (uint32_t)(left / START_BYTES) : 0;
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -288,6 +318,7 @@
 		return;
 	now_ms = clock_now_ms();
 	check_frozen(l, now_ms);
+	set_budget(l, now_ms);
 	sched_act(l->sched, now_ms);
 	carry_flush(l->carry);
 	if (l->deposed)
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -77,7 +77,7 @@
 	int64_t save_retry_ms;
 	int64_t pulse_ms; /* last written, or tried */
 	bool pulse_out;
-	char *learnt_text; /* as last written with the pulse */
+	char *learnt_text; /* as last written */
 	int64_t learnt_ms; /* as of */
 	int64_t confirmed_ms; /* the store last said that we lead */
 	/* A former leader started nothing stored after it; 0: not known. */
@@ -125,14 +125,14 @@
 void lead_kick(struct lead *);
 
 /*
- * What was learnt of fillers, as text that stays the lead's, is the value of
- * the pulse: kept only by entries it would be lost when all lose power.  In 24
- * plays, most with such an end, 148 of 1,272 windows of lasting tasks were
- * unserved without it and 131 with it.
+ * What was learnt of fillers, as text that stays the lead's; NULL: the store
+ * needs no newer one now.  Kept only by entries it would be lost when all lose
+ * power.  In 24 plays, most with such an end, 148 of 1,272 windows of lasting
+ * tasks were unserved without it and 131 with it.  It has a key of its own, as
+ * the pulse is written each 500 ms.
  */
 const char *lead_learnt_text(struct lead *, int64_t now_ms);
-/* The pulse as the last leader wrote it; one that can't be read is passed over.
- */
+/* As the last leader wrote it; what can't be read is passed over. */
 void lead_learnt_load(struct lead *, const struct kv_item *);
 
 /* lead_request.c */
--- a/entry/lead_load.c
+++ b/entry/lead_load.c
@@ -103,7 +103,7 @@
 	start_part(l, KEY_JOB, load_job, jobs_read);
 	start_part(l, KEY_PROGRESS, load_progress, NULL);
 	start_part(l, KEY_WORKERS, lead_record_load, NULL);
-	start_part(l, KEY_PULSE, lead_learnt_load, NULL);
+	start_part(l, KEY_LEARNT, lead_learnt_load, NULL);
 	start_part(
 	    l, l->node->opt.world.workers_prefix, load_worker, workers_read);
 }
--- a/entry/lead_save.c
+++ b/entry/lead_save.c
@@ -15,14 +15,18 @@
 
 /* Ends are gathered for so long before they are written, in milliseconds. */
 #define GATHER_MS 60
+/* The same while our link is full: a job's progress is written whole. */
+#define GATHER_FULL_MS 300
 /* The same when a job ended, since callers wait to see that. */
 #define GATHER_ENDED_MS 15
 #define SAVES_MAX 3
 #define RETRY_MS 100
 /* An entry that can't hear us sees by the pulse that we still lead. */
 #define PULSE_MS 500
-/* Entries of a transaction for the leader's record and for the pulse. */
-#define FIXED_ENTRIES 2
+/* What the pulse holds: only that it is written anew counts. */
+#define PULSE_VALUE "1"
+/* Entries of a write for the leader's record, the pulse, what was learnt. */
+#define FIXED_ENTRIES 3
 #define LIVE_ENTRIES 2
 #define ENDED_ENTRIES 3
 
@@ -153,6 +157,23 @@
 	}
 }
 
+/* The pulse, and what was learnt if that is due; how many they are. */
+static size_t
+put_pulse(struct lead *l, struct kv_put *puts, int64_t now_ms)
+{
+	const char *learnt;
+
+	puts[0].key = KEY_PULSE;
+	puts[0].value = PULSE_VALUE;
+	puts[0].len = strlen(PULSE_VALUE);
+	if ((learnt = lead_learnt_text(l, now_ms)) == NULL)
+		return 1;
+	puts[1].key = KEY_LEARNT;
+	puts[1].value = learnt;
+	puts[1].len = strlen(learnt);
+	return 2;
+}
+
 static void
 send_save(struct lead *l, struct save_write *write)
 {
@@ -161,16 +182,13 @@
 	struct kv_put puts[KV_TXN_MAX];
 	struct save_row *row;
 	struct kv_txn txn;
+	double bytes;
 	size_t i;
 
 	memset(&txn, 0, sizeof(txn));
 	save_compare_leader(l, &compares[txn.ncompares++]);
-	if (write->pulse) {
-		puts[txn.nputs].key = KEY_PULSE;
-		puts[txn.nputs].value = lead_learnt_text(l, write->sent_ms);
-		puts[txn.nputs].len = strlen(puts[txn.nputs].value);
-		txn.nputs++;
-	}
+	if (write->pulse)
+		txn.nputs = put_pulse(l, puts, write->sent_ms);
 	for (i = 0; i < write->n; i++) {
 		row = &write->rows[i];
 		if (row->ended) {
@@ -188,6 +206,10 @@
 	txn.compares = compares;
 	txn.puts = puts;
 	txn.removes = removes;
+	bytes = WRITE_BYTES;
+	for (i = 0; i < txn.nputs; i++)
+		bytes += PUT_BYTES + BASE64_GROWTH * (double)puts[i].len;
+	pacer_spend(&l->node->link, bytes, write->sent_ms);
 	l->saves++;
 	lead_hold(l);
 	l->node->opt.kv.txn(l->node->opt.kv.self, &txn, on_saved, write);
@@ -284,6 +306,15 @@
 	lead_let_go(l);
 }
 
+static int64_t
+gather_ms(struct lead *l, int64_t now_ms)
+{
+	if (l->save_soon)
+		return GATHER_ENDED_MS;
+	return pacer_left(&l->node->link, now_ms) < 0 ? GATHER_FULL_MS :
+							GATHER_MS;
+}
+
 static void
 save_jobs(struct lead *l, int64_t now_ms)
 {
@@ -295,8 +326,7 @@
 		return;
 	if (!pulse &&
 	    (!l->save_wanted || l->saves >= SAVES_MAX ||
-		now_ms - l->save_since_ms <
-		    (l->save_soon ? GATHER_ENDED_MS : GATHER_MS)))
+		now_ms - l->save_since_ms < gather_ms(l, now_ms)))
 		return;
 	if ((write = calloc(1, sizeof(*write))) == NULL)
 		return;
--- a/entry/members.c
+++ b/entry/members.c
@@ -32,6 +32,8 @@
 #define ZMTP_TIMEOUT_MS 1500
 #define QUEUE_MAX 4096
 #define MESSAGE_MAX ((size_t)4 * 1024 * 1024)
+/* Of numbers with a fraction: figures learnt are good for two. */
+#define DIGITS 4
 /* kind="..." of a counter. */
 #define KIND_LABEL_MAX 64
 
@@ -122,6 +124,7 @@
 	if (peer_send(node->peer, id, data, len) != PEER_OK)
 		return false;
 	count_sent(kind, len);
+	pacer_spend(&node->link, (double)(len + FRAME_BYTES), clock_now_ms());
 	return true;
 }
 
@@ -133,7 +136,7 @@
 
 	if (message == NULL)
 		return false;
-	text = json_dumps(message, JSON_COMPACT);
+	text = json_dumps(message, JSON_COMPACT | JSON_REAL_PRECISION(DIGITS));
 	sent = text != NULL &&
 	    members_send_bytes(
 		node, id, text_of(message, "t"), text, strlen(text));
--- a/entry/node.c
+++ b/entry/node.c
@@ -9,6 +9,14 @@
 /* The parts of an entry, and the timer that drives them. */
 
 #define TICK_MS 20
+/*
+ * Of our link that what can wait may fill, and for how long at once.  The rest
+ * is for answers to callers, and keeps the queue before beats short: with
+ * nothing held back, orders over a link of 2 Mbit/s took 600 ms under load,
+ * their answers were given up on, and each was sent again.
+ */
+#define LINK_SHARE 0.9
+#define LINK_BURST_MS 100
 /* Leaving, requests under way get so long to be answered. */
 #define LEAVE_MS 1500
 
@@ -32,6 +40,8 @@
 	TAILQ_INIT(&node->asks);
 	TAILQ_INIT(&node->answers);
 	kept_init(&node->lists);
+	pacer_init(&node->link, LINK_SHARE * options->link_bytes_per_s,
+	    LINK_BURST_MS, clock_now_ms());
 	refused_init(&node->refused, "lagoonpin_record_refused");
 	if ((node->accept = accept_open(node)) == NULL)
 		goto fail;
--- a/entry/node.h
+++ b/entry/node.h
@@ -21,6 +21,7 @@
 	int port;
 	const char *data_center;
 	double power; /* the strongest member leads first */
+	double link_bytes_per_s; /* of our own link */
 	int64_t lease_max_ms; /* of what runs on workers, as they allow it */
 	int64_t keep_ms; /* ended jobs are known so long */
 	int64_t harm_ms; /* a serving task may be late so long */
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -9,6 +9,7 @@
 #include "codec.h"
 #include "elect.h"
 #include "node.h"
+#include "pacer.h"
 #include "peer.h"
 #include "refused.h"
 
@@ -21,10 +22,18 @@
 #define KEY_ENDED "lp/e/" /* + job: how it ended */
 #define KEY_LEADER "lp/leader" /* who leads, and its term */
 #define KEY_PULSE "lp/pulse" /* rewritten while the leader has the store */
+#define KEY_LEARNT "lp/learnt" /* what is known of fillers */
 #define KEY_WORKERS "lp/workers" /* those that may run something */
 
 #define MEMBERS_MAX 512
 
+/* Headers of a message, or of a write, beside its own bytes; roughly. */
+#define FRAME_BYTES 80
+#define PUT_BYTES 80
+#define WRITE_BYTES 300
+/* The store takes values as base64 text. */
+#define BASE64_GROWTH 1.34
+
 /*
  * A leader that was replaced without knowing acts for no longer: it freezes
  * 1.3 s after the store or a member last confirmed it.
@@ -112,6 +121,7 @@
 	struct accept *accept;
 	struct answers_list answers; /* of workers, for leaders */
 	struct kept_lists lists; /* of workers, as leaders were told */
+	struct pacer link; /* what our link can still take */
 	struct refused refused; /* other writers' entries in our place */
 	uv_timer_t reply_timer;
 	/* configuration */
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -88,6 +88,7 @@
 		options.ip = "127.0.0.1";
 		options.data_center = "here";
 		options.power = 1;
+		options.link_bytes_per_s = 125e6;
 		options.lease_max_ms = kLease;
 		options.keep_ms = keep_ms;
 		options.harm_ms = 4000;
--- a/tests/test_handover.cc
+++ b/tests/test_handover.cc
@@ -47,23 +47,23 @@
 {
 	RunOnFirst(1);
 	Pass(1000);
-	ASSERT_EQ(items.count("lp/pulse"), 1u);
-	Put("lp/pulse", "[[\"web\",\"rebuild\",4.5],[\"web\"],7]");
+	ASSERT_EQ(items.count("lp/learnt"), 1u);
+	Put("lp/learnt", "[[\"web\",\"rebuild\",4.5],[\"web\"],7]");
 	Restart();
 	Pass(4000);
-	EXPECT_EQ(items["lp/pulse"].value, "[[\"web\",\"rebuild\",4.5]]");
+	EXPECT_EQ(items["lp/learnt"].value, "[[\"web\",\"rebuild\",4.5]]");
 }
 
-// A pulse of an earlier version, or one that can't be read, teaches nothing
-// and holds nobody up.
-TEST_F(Handover, APulseThatCantBeReadIsPassedOver)
+// A record of another writer, or one that can't be read, teaches nothing and
+// holds nobody up.
+TEST_F(Handover, ARecordOfWhatWasLearntThatCantBeReadIsPassedOver)
 {
 	RunOnFirst(1);
 	Pass(1000);
-	Put("lp/pulse", "1");
+	Put("lp/learnt", "1");
 	Restart();
 	Pass(4000);
-	EXPECT_EQ(items["lp/pulse"].value, "[]");
+	EXPECT_EQ(items["lp/learnt"].value, "[]");
 	EXPECT_EQ(Running(), 1u);
 }
 
--- /dev/null
+++ b/tests/test_pacer.cc
@@ -0,0 +1,60 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "pacer.h"
+}
+
+namespace {
+
+constexpr double kRate = 250000; // bytes a second: 2 Mbit/s
+
+} // namespace
+
+// A leader offers its link a multiple of what that bears.  What waits for the
+// bucket is sent at the link's rate, and never more than a burst beyond it.
+TEST(Pacer, SendsAtTheRateOfTheLink)
+{
+	for (double load : { 0.5, 1.0, 2.0, 4.0 }) {
+		struct pacer p;
+		double offered = 0, sent = 0, most = 0;
+
+		pacer_init(&p, kRate, 100, 0);
+		for (int64_t now_ms = 0; now_ms < 10000; now_ms++) {
+			offered += load * kRate / 1000;
+			while (offered >= 250 && pacer_left(&p, now_ms) > 0) {
+				pacer_spend(&p, 250, now_ms);
+				offered -= 250;
+				sent += 250;
+			}
+			double queued = sent - kRate / 1000 * (double)now_ms;
+			most = queued > most ? queued : most;
+		}
+		double bears = 10 * kRate * (load < 1 ? load : 1);
+		EXPECT_GE(sent, 0.98 * bears) << load;
+		EXPECT_LE(most, kRate * 0.1 + 500) << load;
+	}
+}
+
+// Beats and answers go whatever the bucket holds; the rest makes up for them.
+TEST(Pacer, WhatCannotWaitPutsItIntoDebt)
+{
+	struct pacer p;
+
+	pacer_init(&p, kRate, 100, 1000);
+	pacer_spend(&p, 75000, 1000);
+	EXPECT_LT(pacer_left(&p, 1000), 0);
+	EXPECT_EQ(pacer_wait_ms(&p, 1000), 201);
+	EXPECT_LT(pacer_left(&p, 1199), 0);
+	EXPECT_EQ(pacer_wait_ms(&p, 1201), 0);
+	EXPECT_LE(pacer_left(&p, 100000), 25000);
+}
+
+TEST(Pacer, TimeThatStandsStillFillsNothing)
+{
+	struct pacer p;
+
+	pacer_init(&p, kRate, 100, 1000);
+	pacer_spend(&p, 25000, 1000);
+	EXPECT_EQ(pacer_left(&p, 1000), 0);
+	EXPECT_EQ(pacer_left(&p, 900), 0);
+}
