Step workers that are due, and weigh candidates instead of the whole tree

Workers with something due are found in a tree by time; a pass lists usable workers with what is free there once, compares sizes, and weighs 64 that suit (all, for tasks that serve or have data in a rack).

A touch that does nothing is caught by no test: the step each 100 ms covers it.

--- a/core/sched.c
+++ b/core/sched.c
@@ -5,6 +5,8 @@
 
 /* sched_act() is called at least so often, in milliseconds. */
 #define STEP_MAX_MS 200
+/* Repeated jobs may begin late by so much, in milliseconds. */
+#define REPEATS_MS 20
 
 struct sched *
 sched_open(const struct sched_options *options)
@@ -17,6 +19,8 @@
 	s->random = options->seed | 1;
 	RB_INIT(&s->jobs);
 	RB_INIT(&s->workers);
+	RB_INIT(&s->steps);
+	LIST_INIT(&s->unsaved);
 	TAILQ_INIT(&s->open);
 	TAILQ_INIT(&s->ended);
 	TAILQ_INIT(&s->dirty);
@@ -95,27 +99,32 @@
 	return s->random;
 }
 
-void
-sched_act(struct sched *s, int64_t now_ms)
+static void
+open_repeats(struct sched *s, int64_t now_ms)
 {
-	struct sched_worker *worker, *next;
-	struct sched_job *job, *next_job;
+	struct sched_job *job, *next;
 
-	if (s->deposed)
+	if (now_ms < s->repeats_ms) {
+		sched_due(s, s->repeats_ms);
 		return;
-	s->next_ms = now_ms + STEP_MAX_MS;
-	for (job = TAILQ_FIRST(&s->open); job != NULL; job = next_job) {
-		next_job = TAILQ_NEXT(job, link);
+	}
+	s->repeats_ms = now_ms + REPEATS_MS;
+	for (job = TAILQ_FIRST(&s->open); job != NULL; job = next) {
+		next = TAILQ_NEXT(job, link);
 		if (job->graph->repeats > 0)
 			job_open_due(s, job, now_ms);
 	}
+}
+
+void
+sched_act(struct sched *s, int64_t now_ms)
+{
+	if (s->deposed)
+		return;
+	s->next_ms = now_ms + STEP_MAX_MS;
+	open_repeats(s, now_ms);
 	leave_move(s, now_ms);
-	worker_count_silent(s, now_ms);
-	for (worker = RB_MIN(sched_worker_tree, &s->workers); worker != NULL;
-	     worker = next) {
-		next = RB_NEXT(sched_worker_tree, &s->workers, worker);
-		worker_step(s, worker, now_ms);
-	}
+	worker_steps(s, now_ms);
 	if (s->deposed)
 		return;
 	inherit_check(s, now_ms);
--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -74,7 +74,7 @@
 {
 	run->state = RUN_UNSURE;
 	run->answered_ms = now_ms;
-	worker_missed(run->worker, now_ms);
+	worker_missed(s, run->worker, now_ms);
 	/*
 	 * The order may be carried out late, after newer ones.  A stop that is
 	 * answered makes the worker refuse that attempt from then on.
@@ -108,7 +108,7 @@
 		start_lost(s, run, now_ms);
 		break;
 	case ANSWER_NOT_SENT:
-		worker_missed(worker, now_ms);
+		worker_missed(s, worker, now_ms);
 		start_failed(s, run, 0, now_ms);
 		break;
 	case ANSWER_UNHEALTHY:
@@ -142,7 +142,7 @@
 		run->answered_ms = now_ms;
 		worker->look_at_ms = now_ms;
 	}
-	sched_due(s, 0);
+	worker_touch(s, worker);
 }
 
 void
@@ -208,7 +208,8 @@
 
 /* An end that is dealt with; acknowledged once its job is saved. */
 static bool
-keep_end(struct sched_worker *worker, uint64_t number, struct sched_job *job)
+keep_end(struct sched *s, struct sched_worker *worker, uint64_t number,
+    struct sched_job *job)
 {
 	struct sched_end *end;
 
@@ -219,6 +220,8 @@
 	/* The mark that there is no such job may go before this end does. */
 	end->job = job->absent ? NULL : job;
 	end->change = job->change;
+	if (STAILQ_EMPTY(&worker->ends))
+		LIST_INSERT_HEAD(&s->unsaved, worker, unsaved_link);
 	STAILQ_INSERT_TAIL(&worker->ends, end, link);
 	return true;
 }
@@ -248,7 +251,7 @@
 		if (finished->how == END_DONE && task->step->spec->gang)
 			gang_done(s, task->step, now_ms);
 	}
-	return keep && keep_end(worker, finished->number, job);
+	return keep && keep_end(s, worker, finished->number, job);
 }
 
 static struct sched_run *
@@ -274,6 +277,7 @@
 keep_stray(struct sched_worker *worker, const struct look_running *row)
 {
 	struct sched_stray *stray;
+
 	if ((stray = calloc(1, sizeof(*stray))) == NULL)
 		abort(); /* forgotten, it would be started a second time */
 	stray->task = row->task;
@@ -382,7 +386,7 @@
 
 	for (i = 0; i < result->nfinished; i++)
 		note_end(s, worker, &result->finished[i], false, now_ms);
-	sched_due(s, 0);
+	worker_touch(s, worker);
 }
 
 void
@@ -393,7 +397,7 @@
 	size_t i;
 
 	worker->look_out = false;
-	sched_due(s, 0);
+	worker_touch(s, worker);
 	switch (answer) {
 	case ANSWER_OK:
 		break;
@@ -404,7 +408,7 @@
 		worker_died(s, worker, now_ms);
 		return;
 	default:
-		worker_missed(worker, now_ms);
+		worker_missed(s, worker, now_ms);
 		return;
 	}
 	worker_heard(s, worker, result->clock_ms, now_ms);
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -52,10 +52,11 @@
 /* When a worker that hasn't answered this leader has surely lapsed. */
 int64_t worker_unheard_lapses(const struct sched *);
 void worker_died(struct sched *, struct sched_worker *, int64_t now_ms);
-void worker_missed(struct sched_worker *, int64_t now_ms);
-/* Before the steps of all workers. */
-void worker_count_silent(struct sched *, int64_t now_ms);
-void worker_step(struct sched *, struct sched_worker *, int64_t now_ms);
+void worker_missed(struct sched *, struct sched_worker *, int64_t now_ms);
+/* Something happened to it: its step is due. */
+void worker_touch(struct sched *, struct sched_worker *);
+/* The steps that are due. */
+void worker_steps(struct sched *, int64_t now_ms);
 void worker_drop_strays(struct sched_worker *);
 void worker_free(struct sched *, struct sched_worker *);
 bool worker_usable(const struct sched_worker *, int64_t now_ms);
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -625,6 +625,7 @@
 	(void)now_ms;
 	if (change > job->saved)
 		job->saved = change;
+	s->any_saved = true;
 	sched_due(s, 0);
 }
 
--- a/core/sched_leave.c
+++ b/core/sched_leave.c
@@ -148,9 +148,11 @@
 	struct sched_worker *worker;
 	struct leaving l = { s, now_ms, 0, 0, 0 };
 
-	if (s->frozen || now_ms < s->leave_ms || !anything_to_move(s))
+	if (s->frozen || now_ms < s->leave_ms)
 		return;
 	s->leave_ms = now_ms + PASS_EVERY_MS;
+	if (!anything_to_move(s))
+		return;
 	sched_due(s, s->leave_ms);
 	measure(&l);
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -24,12 +24,21 @@
 /* Starts sent by one pass, so that other events get their turn. */
 #define STARTS_MAX 64
 /*
- * A pass looks at some workers for each task; after one that looked at many
- * the next comes later, so that a queue of thousands of tasks leaves the entry
+ * A pass weighs some workers for each task; after one that weighed many the
+ * next comes later, so that a queue of thousands of tasks leaves the entry
  * time for beats.  With 490 workers a pass without this took the leader over
- * 0.6 s and cost it the lead.  The figure itself is chosen with reserve.
+ * 0.6 s and cost it the lead.  A worker is weighed in some 0.1 us, and passed
+ * over for its room in a thirtieth of that.
  */
-#define LOOKS_PER_MS 1000
+#define LOOKS_PER_MS 4000
+#define PASSED_PER_LOOK 32
+/* Passes are so far apart in any case: each ranks all jobs that wait. */
+#define PASS_GAP_MS 4
+/*
+ * Among so many workers that suit the best is hardly worse than among all: it
+ * is one of the best twentieth with a probability of 0.96.
+ */
+#define ENOUGH 64
 /* The link takes no starts now: it is asked again after so long. */
 #define LINK_RETRY_MS 5
 /* Waiting tasks are tried again at least so often, in milliseconds. */
@@ -42,30 +51,77 @@
 	int image;
 };
 
+/* A usable worker and what is free there: all that most looks need of it. */
+struct candidate {
+	struct sched_worker *worker;
+	struct resources free;
+};
+
 struct placing {
 	struct sched *s;
 	int64_t now_ms;
-	uint64_t looked; /* workers looked at in this pass */
+	struct candidate
+	    *candidates; /* of this pass; made with the first task */
+	size_t ncandidates;
+	uint64_t looked; /* workers weighed in this pass */
+	uint64_t passed; /* those whose room alone was looked at */
 	uint32_t started;
 	uint32_t starts_max; /* of this pass */
 	struct placing_miss misses[MISSES_MAX];
 	size_t nmisses;
 };
 
+static void
+set_free(struct candidate *candidate)
+{
+	const struct room *room;
+
+	room = &candidate->worker->room;
+	candidate->free.cpu_millis =
+	    room->capacity.cpu_millis - room->used.cpu_millis;
+	candidate->free.memory_mib =
+	    room->capacity.memory_mib - room->used.memory_mib;
+	candidate->free.accelerators =
+	    room->capacity.accelerators - room->used.accelerators;
+}
+
+/* false: no memory. */
 static bool
-fits(const struct sched_worker *worker, const struct graph_step *spec)
+list_candidates(struct placing *p)
 {
-	struct resources size;
+	struct sched_worker *worker;
+	size_t n;
 
-	size = spec->size;
-	if (!spec->filler)
-		return room_check(&worker->room, &size) == ROOM_OK;
-	size.cpu_millis = 0;
-	if (room_check(&worker->room, &size) != ROOM_OK)
+	if (p->candidates != NULL)
+		return true;
+	n = 0;
+	RB_FOREACH (worker, sched_worker_tree, &p->s->workers)
+		n++;
+	p->candidates = calloc(n + 1, sizeof(*p->candidates));
+	if (p->candidates == NULL)
 		return false;
+	RB_FOREACH (worker, sched_worker_tree, &p->s->workers) {
+		if (!worker_usable(worker, p->now_ms))
+			continue;
+		p->candidates[p->ncandidates].worker = worker;
+		set_free(&p->candidates[p->ncandidates++]);
+	}
+	p->passed += n;
 	return true;
 }
 
+/* A filler's processors aren't counted. */
+static bool
+fits(const struct candidate *candidate, const struct graph_step *spec)
+{
+	const struct resources *free;
+
+	free = &candidate->free;
+	return (spec->filler || spec->size.cpu_millis <= free->cpu_millis) &&
+	    spec->size.memory_mib <= free->memory_mib &&
+	    spec->size.accelerators <= free->accelerators;
+}
+
 static uint32_t
 count_of_step(const struct sched_worker *worker, const struct sched_step *step)
 {
@@ -181,32 +237,73 @@
 		   share_of(p->s, worker, spec)) <= 1;
 }
 
-static struct sched_worker *
-pick_worker(struct placing *p, const struct sched_task *task)
+/* How many that suit are weighed; all, where one may be much better. */
+static size_t
+enough(const struct graph_step *spec)
+{
+	if (spec->rack[0] != '\0' || spec->tail_target_ms > 0)
+		return SIZE_MAX;
+	return ENOUGH;
+}
+
+/* What happened to it in this pass is seen in its room and here. */
+static bool
+may_take(struct placing *p, const struct candidate *candidate,
+    const struct sched_task *task)
 {
-	struct sched_worker *worker, *best;
 	const struct graph_step *spec;
-	double score, best_score;
 
 	spec = task->step->spec;
+	if (!fits(candidate, spec))
+		return false;
+	p->looked++;
+	return worker_usable(candidate->worker, p->now_ms) &&
+	    allowed(candidate->worker, task) &&
+	    (!spec->filler || filler_may(p, candidate->worker, task));
+}
+
+/* The best of enough that may take it, from a random one on; NULL: none may. */
+static struct candidate *
+best_candidate(struct placing *p, const struct sched_task *task)
+{
+	struct candidate *candidate, *best;
+	double score, best_score;
+	size_t i, at, found, most;
+
 	best = NULL;
 	best_score = -INFINITY;
-	RB_FOREACH (worker, sched_worker_tree, &p->s->workers) {
-		p->looked++;
-		if (!worker_usable(worker, p->now_ms) || !fits(worker, spec) ||
-		    !allowed(worker, task))
+	found = 0;
+	most = enough(task->step->spec);
+	at = p->ncandidates > most ? sched_random(p->s) % p->ncandidates : 0;
+	for (i = 0; i < p->ncandidates && found < most; i++) {
+		candidate = &p->candidates[at];
+		at = at + 1 < p->ncandidates ? at + 1 : 0;
+		if (!may_take(p, candidate, task))
 			continue;
-		if (spec->filler && !filler_may(p, worker, task))
-			continue;
-		score =
-		    suits(p, worker, task) + (double)(sched_random(p->s) % 500);
+		found++;
+		score = suits(p, candidate->worker, task) +
+		    (double)(sched_random(p->s) % 500);
 		if (score > best_score) {
-			best = worker;
+			best = candidate;
 			best_score = score;
 		}
 	}
+	p->passed += i;
+	return best;
+}
+
+static struct candidate *
+pick_worker(struct placing *p, const struct sched_task *task)
+{
+	const struct graph_step *spec;
+	struct candidate *best;
+
+	if (!list_candidates(p))
+		return NULL;
+	spec = task->step->spec;
+	best = best_candidate(p, task);
 	if (best != NULL && spec->rack[0] != '\0' &&
-	    !sched_worker_has_label(best, spec->rack) &&
+	    !sched_worker_has_label(best->worker, spec->rack) &&
 	    waits_for_data(p, task))
 		return NULL;
 	return best;
@@ -216,11 +313,14 @@
 place_has_room(struct sched *s, const struct sched_task *task, int64_t now_ms)
 {
 	struct placing p;
+	bool found;
 
 	memset(&p, 0, sizeof(p));
 	p.s = s;
 	p.now_ms = now_ms;
-	return pick_worker(&p, task) != NULL;
+	found = pick_worker(&p, task) != NULL;
+	free(p.candidates);
+	return found;
 }
 
 static void
@@ -243,25 +343,36 @@
 static bool
 place_task(struct placing *p, struct sched_task *task)
 {
-	struct sched_worker *worker;
+	struct candidate *place;
 	struct sched_run *run;
 
-	if ((worker = pick_worker(p, task)) == NULL)
+	if ((place = pick_worker(p, task)) == NULL)
 		return false;
 	run = run_new(
-	    p->s, task, worker, run_next_attempt(p->s, task), p->now_ms);
+	    p->s, task, place->worker, run_next_attempt(p->s, task), p->now_ms);
 	if (run == NULL)
 		return false;
+	set_free(place);
 	send_start(p->s, run, p->now_ms);
 	return true;
 }
 
+/* What a gang took is given back. */
+static void
+update_free(struct placing *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->ncandidates; i++)
+		set_free(&p->candidates[i]);
+}
+
 /* All tasks of a gang at once, or none. */
 static void
 place_gang(struct placing *p, struct sched_step *step)
 {
 	struct sched_run *run, *runs[GRAPH_TASKS_MAX / 10];
-	struct sched_worker *worker;
+	struct candidate *place;
 	uint32_t attempt, i, n;
 
 	if (step->spec->count > sizeof(runs) / sizeof(runs[0]))
@@ -277,12 +388,13 @@
 			attempt = n;
 	}
 	for (n = 0; n < step->spec->count; n++) {
-		worker = pick_worker(p, &step->tasks[n]);
-		run = worker == NULL ?
-		    NULL :
-		    run_new(p->s, &step->tasks[n], worker, attempt, p->now_ms);
+		place = pick_worker(p, &step->tasks[n]);
+		run = place == NULL ? NULL :
+				      run_new(p->s, &step->tasks[n],
+					  place->worker, attempt, p->now_ms);
 		if (run == NULL)
 			break;
+		set_free(place);
 		runs[n] = run;
 	}
 	for (i = 0; i < n; i++) {
@@ -293,6 +405,8 @@
 		run_settle(p->s, runs[i]);
 		run_requeue(p->s, &step->tasks[i], p->now_ms, p->now_ms);
 	}
+	if (n < step->spec->count)
+		update_free(p);
 }
 
 /* Without rules of its own, and of the same kind: it fits where that fits. */
@@ -432,6 +546,9 @@
 		place_job(&p, jobs[i]);
 	/* What a gang took and gave back makes no more room than before. */
 	s->place_wanted = p.started >= p.starts_max;
-	s->place_gap_ms = now_ms + 1 + (int64_t)(p.looked / LOOKS_PER_MS);
+	p.looked += n + p.passed / PASSED_PER_LOOK;
+	s->place_gap_ms =
+	    now_ms + PASS_GAP_MS + (int64_t)(p.looked / LOOKS_PER_MS);
+	free(p.candidates);
 	free(jobs);
 }
--- a/core/sched_run.c
+++ b/core/sched_run.c
@@ -134,7 +134,7 @@
 		return;
 	run->stop_wanted = true;
 	run->stop_at_ms = 0;
-	sched_due(s, 0);
+	worker_touch(s, run->worker);
 }
 
 void
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -32,6 +32,11 @@
  */
 #define EXPIRE_MISSES 2
 #define EXPIRE_MS 250
+/*
+ * Each worker is stepped so often whatever happens: an event that doesn't touch
+ * it, such as the store's return, takes hold by then.
+ */
+#define STEP_EVERY_MS 100
 /* A lost worker without tasks is forgotten after so long. */
 #define FORGET_MS 10000
 
@@ -43,6 +48,44 @@
 
 RB_GENERATE(sched_worker_tree, sched_worker, by_id, sched_worker_cmp)
 
+static int
+step_cmp(struct sched_worker *a, struct sched_worker *b)
+{
+	if (a->step_ms != b->step_ms)
+		return a->step_ms < b->step_ms ? -1 : 1;
+	return a->serial < b->serial ? -1 : a->serial > b->serial;
+}
+
+RB_PROTOTYPE(sched_step_tree, sched_worker, by_step, step_cmp)
+RB_GENERATE(sched_step_tree, sched_worker, by_step, step_cmp)
+
+static void
+steps_insert(struct sched *s, struct sched_worker *worker, int64_t at_ms)
+{
+	worker->step_ms = at_ms;
+	worker->in_steps = true;
+	RB_INSERT(sched_step_tree, &s->steps, worker);
+}
+
+static void
+steps_remove(struct sched *s, struct sched_worker *worker)
+{
+	if (worker->in_steps)
+		RB_REMOVE(sched_step_tree, &s->steps, worker);
+	worker->in_steps = false;
+}
+
+void
+worker_touch(struct sched *s, struct sched_worker *worker)
+{
+	if (worker->in_steps && worker->step_ms != 0) {
+		steps_remove(s, worker);
+		steps_insert(s, worker, 0);
+	}
+	worker->step_ms = 0;
+	sched_due(s, 0);
+}
+
 struct sched_worker *
 sched_worker_find(struct sched *s, const char *id)
 {
@@ -71,6 +114,7 @@
 	STAILQ_INIT(&worker->ends);
 	SLIST_INIT(&worker->strays);
 	RB_INSERT(sched_worker_tree, &s->workers, worker);
+	steps_insert(s, worker, 0);
 	return worker;
 }
 
@@ -94,10 +138,13 @@
 	while ((run = TAILQ_FIRST(&worker->runs)) != NULL)
 		run_settle(s, run);
 	worker_drop_strays(worker);
+	if (!STAILQ_EMPTY(&worker->ends))
+		LIST_REMOVE(worker, unsaved_link);
 	while ((end = STAILQ_FIRST(&worker->ends)) != NULL) {
 		STAILQ_REMOVE_HEAD(&worker->ends, link);
 		free(end);
 	}
+	steps_remove(s, worker);
 	RB_REMOVE(sched_worker_tree, &s->workers, worker);
 	free(worker->left_tasks);
 	free(worker);
@@ -127,15 +174,16 @@
 	worker->leaves_ms = leaves_ms;
 	if (worker->record_wanted == RECORD_NONE && !draining)
 		want_record(s, worker, RECORD_IN_USE);
-	sched_due(s, now_ms);
+	worker_touch(s, worker);
 }
 
 void
 sched_worker_unlisted(
     struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
+	(void)now_ms;
 	worker->listed = false;
-	sched_due(s, now_ms);
+	worker_touch(s, worker);
 }
 
 void
@@ -322,6 +370,8 @@
 		worker->acknowledged = end->number;
 		STAILQ_REMOVE_HEAD(&worker->ends, link);
 		free(end);
+		if (STAILQ_EMPTY(&worker->ends))
+			LIST_REMOVE(worker, unsaved_link);
 	}
 }
 
@@ -397,8 +447,9 @@
 }
 
 void
-worker_missed(struct sched_worker *worker, int64_t now_ms)
+worker_missed(struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
+	worker_touch(s, worker);
 	if (worker->misses++ == 0)
 		worker->silent_ms = now_ms;
 	worker->look_at_ms = now_ms + LOOK_RETRY_MS * worker->misses;
@@ -434,12 +485,15 @@
  * With most workers silent it is rather our link that is cut.  Said to expire,
  * they couldn't be renewed when they answer again without the store.
  */
-void
-worker_count_silent(struct sched *s, int64_t now_ms)
+static void
+count_silent(struct sched *s, int64_t now_ms)
 {
 	struct sched_worker *worker;
 	uint32_t listed, silent;
 
+	if (s->silent_ms == now_ms)
+		return;
+	s->silent_ms = now_ms;
 	listed = 0;
 	silent = 0;
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
@@ -458,6 +512,8 @@
 {
 	if (worker->record_wanted == RECORD_NONE)
 		return;
+	if (is_silent(worker, now_ms))
+		count_silent(s, now_ms);
 	if (worker->dead || (is_silent(worker, now_ms) && !s->most_silent))
 		want_record(s, worker, RECORD_EXPIRING);
 	else if (worker->heard_ms != 0 && worker->misses == 0)
@@ -481,7 +537,8 @@
 	    (worker->heard_ms != 0 && now_ms - worker->heard_ms > FORGET_MS);
 }
 
-void
+/* false: it was forgotten. */
+static bool
 worker_step(struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
 	worker_acknowledge(worker);
@@ -490,9 +547,50 @@
 	if (may_be_forgotten(worker, now_ms)) {
 		s->opt.actions->forget_worker(s, worker, s->opt.ctx);
 		worker_free(s, worker);
-		return;
+		return false;
 	}
 	run_step(s, worker, now_ms);
 	health_watch(s, worker, now_ms);
 	look_if_due(s, worker, now_ms);
+	return true;
+}
+
+/* What its step finds due later is due for this worker alone. */
+static void
+step_one(struct sched *s, struct sched_worker *worker, int64_t now_ms)
+{
+	int64_t others_ms, at_ms;
+
+	steps_remove(s, worker);
+	worker->step_ms = INT64_MAX;
+	others_ms = s->next_ms;
+	s->next_ms = now_ms + STEP_EVERY_MS;
+	if (worker_step(s, worker, now_ms)) {
+		at_ms = worker->step_ms == 0 ? 0 : s->next_ms;
+		steps_insert(s, worker, at_ms > now_ms ? at_ms : now_ms + 1);
+	}
+	if (others_ms < s->next_ms)
+		s->next_ms = others_ms;
+}
+
+/*
+ * Only workers to which something happened, or for which something is due, are
+ * stepped.  A step of all of them after each event cost a leader with 890
+ * workers more than the events did.
+ */
+void
+worker_steps(struct sched *s, int64_t now_ms)
+{
+	struct sched_worker *worker;
+
+	if (s->any_saved) {
+		s->any_saved = false;
+		LIST_FOREACH (worker, &s->unsaved, unsaved_link)
+			worker_touch(s, worker);
+	}
+	while ((worker = RB_MIN(sched_step_tree, &s->steps)) != NULL &&
+	    worker->step_ms <= now_ms && !s->deposed)
+		step_one(s, worker, now_ms);
+	if (worker != NULL)
+		sched_due(s, worker->step_ms);
 }
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -220,6 +220,11 @@
 
 struct sched_worker {
 	RB_ENTRY(sched_worker) by_id;
+	RB_ENTRY(sched_worker)
+	by_step; /* in sched.steps, unless it is in one */
+	LIST_ENTRY(sched_worker) unsaved_link; /* while ends isn't empty */
+	bool in_steps;
+	int64_t step_ms; /* its next step is due; 0: something happened */
 	char id[SCHED_WORKER_ID_MAX]; /* one life of a worker */
 	char service[GRAPH_NAME_MAX];
 	char address[64];
@@ -274,6 +279,7 @@
 	double pressure; /* on the worst off, when last listed; 1: late */
 };
 RB_HEAD(sched_worker_tree, sched_worker);
+RB_HEAD(sched_step_tree, sched_worker);
 
 /* One row of a worker's list of what runs. */
 struct look_running {
@@ -406,6 +412,11 @@
 	struct sched_jobs dirty;
 	struct sched_jobs ending; /* ended, their tasks still held */
 	struct sched_worker_tree workers;
+	struct sched_step_tree steps; /* the same by when they are due */
+	LIST_HEAD(, sched_worker) unsaved; /* with ends to acknowledge */
+	bool any_saved; /* since the last step */
+	int64_t repeats_ms; /* repeated jobs aren't looked at before */
+	int64_t silent_ms; /* the silent ones were last counted */
 	TAILQ_HEAD(, sched_queue) queues;
 	uint32_t next_serial;
 	bool frozen; /* another may lead: renew and start nothing */
