--- a/bench/lead_cost.c
+++ b/bench/lead_cost.c
@@ -13,6 +13,7 @@
  */
 
 #define RUNS_PER_WORKER 8
+#define ROWS_MAX 16 /* of one list */
 #define ROUNDS 4000 /* starts that are measured */
 #define BEGIN_MS 1000000
 #define TASKS_PER_JOB 40
@@ -150,7 +151,7 @@
 answer_look(
     struct fleet *f, struct sched_worker *worker, const struct started *end)
 {
-	struct look_running rows[RUNS_PER_WORKER * 2];
+	struct look_running rows[ROWS_MAX];
 	struct look_finished finished;
 	struct look_result look;
 	struct sched_run *run;
@@ -159,7 +160,7 @@
 	memset(rows, 0, sizeof(rows));
 	look.clock_ms = f->now_ms;
 	TAILQ_FOREACH (run, &worker->runs, by_worker) {
-		if (look.nrunning == RUNS_PER_WORKER * 2)
+		if (look.nrunning == ROWS_MAX)
 			break;
 		sched_task_name(run->task, &rows[look.nrunning].task);
 		if (end != NULL && run->attempt == end->attempt &&
--- /dev/null
+++ b/entry/carryread.c
@@ -0,0 +1,333 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "carrywire.h"
+#include "carrywire_int.h"
+#include "wire_int.h"
+
+/* Reading of the messages of carrywire.h, which another entry sent. */
+
+struct reading {
+	const struct carry_reader *to;
+	char *texts; /* those read so far; each is shorter than its bytes */
+	size_t used;
+	const char *payload; /* of the last start */
+};
+
+/* A text of its own, up to that size. */
+static const char *
+get_text(struct reading *g, struct wire_reader *r, size_t max)
+{
+	const msgpack_object *o;
+	char *text;
+
+	if ((o = wire_next(r, MSGPACK_OBJECT_STR)) == NULL)
+		return "";
+	if (o->via.str.size > max ||
+	    memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL) {
+		r->error = WIRE_ERR_FORM;
+		return "";
+	}
+	text = g->texts + g->used;
+	memcpy(text, o->via.str.ptr, o->via.str.size);
+	text[o->via.str.size] = '\0';
+	g->used += o->via.str.size + 1;
+	return text;
+}
+
+static void
+get_task(struct wire_reader *r, struct task_name *task, uint32_t *attempt)
+{
+	wire_str(r, task->job, sizeof(task->job));
+	task->occurrence = (uint32_t)wire_uint(r, UINT32_MAX);
+	task->step = (uint32_t)wire_uint(r, UINT32_MAX);
+	task->index = (uint32_t)wire_uint(r, UINT32_MAX);
+	*attempt = (uint32_t)wire_uint(r, UINT32_MAX);
+}
+
+static void
+get_payload(struct reading *g, struct wire_reader *r, const char **payload)
+{
+	if (r->left > 0 && r->at->type == MSGPACK_OBJECT_NIL &&
+	    g->payload != NULL)
+		wire_next(r, MSGPACK_OBJECT_NIL);
+	else
+		g->payload = get_text(g, r, PAYLOAD_MAX);
+	*payload = g->payload;
+}
+
+static void
+get_order(struct reading *g, struct wire_reader *r, struct carry_order *order)
+{
+	memset(order, 0, sizeof(*order));
+	order->kind = (enum carry_kind)wire_uint(r, CARRY_LOOK);
+	order->number = wire_uint(r, UINT64_MAX);
+	order->worker = get_text(g, r, SCHED_WORKER_ID_MAX - 1);
+	order->address =
+	    get_text(g, r, sizeof(((struct sched_worker *)NULL)->address) - 1);
+	if (order->kind != CARRY_LOOK)
+		get_task(r, &order->task, &order->attempt);
+	if (order->kind == CARRY_START) {
+		order->deadline_ms = (int64_t)wire_uint(r, INT64_MAX);
+		order->checkpoint = get_text(g, r, CHECKPOINT_MAX);
+		if (order->checkpoint[0] == '\0')
+			order->checkpoint = NULL;
+		get_payload(g, r, &order->payload);
+	} else if (order->kind == CARRY_PACE)
+		order->percent = (int)wire_uint(r, 100);
+	else if (order->kind == CARRY_LOOK) {
+		order->acknowledged = wire_uint(r, UINT64_MAX);
+		order->deadline_ms = (int64_t)wire_uint(r, INT64_MAX);
+		order->wait_ms = (int64_t)wire_uint(r, INT32_MAX);
+		order->base = wire_uint(r, UINT64_MAX);
+	} else if (order->kind != CARRY_STOP)
+		r->error = WIRE_ERR_TYPE;
+}
+
+static void
+get_orders(struct reading *g, struct wire_reader *r)
+{
+	char leader[ELECT_ID_MAX], address[ELECT_ADDRESS_MAX];
+	struct wire_reader list, one;
+	struct carry_order order;
+	uint64_t term;
+
+	wire_str(r, leader, sizeof(leader));
+	wire_str(r, address, sizeof(address));
+	term = wire_uint(r, UINT64_MAX);
+	list = wire_array(r, ITEMS_MAX);
+	while (list.error == WIRE_OK && list.left > 0) {
+		one = wire_array(&list, START_ITEMS);
+		get_order(g, &one, &order);
+		wire_finish(&list, &one);
+		if (list.error == WIRE_OK && g->to->order != NULL)
+			g->to->order(leader, address, term, &order, g->to->ctx);
+	}
+	wire_finish(r, &list);
+}
+
+/* A row that the base has, with what is new of it. */
+static void
+get_known(struct reading *g, struct wire_reader *r,
+    const struct kept_list *base, struct look_running *row)
+{
+	uint64_t place;
+	bool moved;
+
+	moved = r->left == MOVED_ITEMS;
+	place = wire_uint(r, SIZE_MAX);
+	if (base == NULL || place >= base->n) {
+		r->error = WIRE_ERR_FORM;
+		return;
+	}
+	*row = base->rows[place];
+	row->percent = (int)wire_uint(r, 100);
+	row->figure = (int)wire_uint(r, INT32_MAX);
+	if (moved)
+		row->checkpoint = get_text(g, r, CHECKPOINT_MAX);
+}
+
+static void
+get_running(struct reading *g, struct wire_reader *r,
+    const struct kept_list *base, struct look_running *row)
+{
+	if (r->left < RUNNING_ITEMS) {
+		get_known(g, r, base, row);
+		return;
+	}
+	get_task(r, &row->task, &row->attempt);
+	row->checkpoint = get_text(g, r, CHECKPOINT_MAX);
+	row->percent = (int)wire_uint(r, 100);
+	row->figure = (int)wire_uint(r, INT32_MAX);
+}
+
+static void
+get_finished(
+    struct reading *g, struct wire_reader *r, struct look_finished *row)
+{
+	row->number = wire_uint(r, UINT64_MAX);
+	get_task(r, &row->task, &row->attempt);
+	row->how = (enum look_end)wire_uint(r, END_ALONE);
+	row->checkpoint = get_text(g, r, CHECKPOINT_MAX);
+}
+
+/* The list of running tasks, to be freed; NULL: no memory. */
+static struct look_running *
+get_all_running(struct reading *g, struct wire_reader *r,
+    const struct kept_list *base, size_t *n)
+{
+	struct look_running *rows;
+	struct wire_reader list, one;
+
+	list = wire_array(r, ITEMS_MAX);
+	rows = calloc(list.left + 1, sizeof(*rows));
+	while (rows != NULL && list.error == WIRE_OK && list.left > 0) {
+		one = wire_array(&list, RUNNING_ITEMS);
+		get_running(g, &one, base, &rows[(*n)++]);
+		wire_finish(&list, &one);
+	}
+	wire_finish(r, &list);
+	return rows;
+}
+
+static struct look_finished *
+get_all_finished(struct reading *g, struct wire_reader *r, size_t *n)
+{
+	struct look_finished *rows;
+	struct wire_reader list, one;
+
+	list = wire_array(r, ITEMS_MAX);
+	rows = calloc(list.left + 1, sizeof(*rows));
+	while (rows != NULL && list.error == WIRE_OK && list.left > 0) {
+		one = wire_array(&list, FINISHED_ITEMS);
+		get_finished(g, &one, &rows[(*n)++]);
+		wire_finish(&list, &one);
+	}
+	wire_finish(r, &list);
+	return rows;
+}
+
+/*
+ * The running tasks of an answer.  Without its base they aren't known, and no
+ * list may be made up: tasks that run would be taken for gone.  So the answer
+ * counts as lost, but for the ends, which stay true.
+ */
+static struct look_running *
+get_running_or_lose(struct reading *g, struct wire_reader *r,
+    struct carry_answer *answer, size_t *n)
+{
+	const struct kept_list *base;
+
+	base = NULL;
+	answer->base = wire_uint(r, UINT64_MAX);
+	if (answer->base != 0 && g->to->base != NULL)
+		base = g->to->base(answer->worker, answer->base, g->to->ctx);
+	if (answer->base == 0 || base != NULL)
+		return get_all_running(g, r, base, n);
+	wire_next(r, MSGPACK_OBJECT_ARRAY);
+	answer->answer = ANSWER_LOST;
+	return calloc(1, sizeof(struct look_running));
+}
+
+static void
+get_look_answer(
+    struct reading *g, struct wire_reader *r, struct carry_answer *answer)
+{
+	struct look_finished *finished;
+	struct look_running *running;
+	struct look_result look;
+
+	memset(&look, 0, sizeof(look));
+	look.clock_ms = answer->clock_ms;
+	answer->worker = get_text(g, r, SCHED_WORKER_ID_MAX - 1);
+	running = get_running_or_lose(g, r, answer, &look.nrunning);
+	finished = get_all_finished(g, r, &look.nfinished);
+	if (running == NULL || finished == NULL)
+		r->error = WIRE_ERR_MEMORY;
+	look.running = running;
+	look.finished = finished;
+	answer->look = &look;
+	if (r->error == WIRE_OK && g->to->answer != NULL)
+		g->to->answer(answer, g->to->ctx);
+	free(running);
+	free(finished);
+}
+
+static void
+get_answer(struct reading *g, struct wire_reader *r)
+{
+	struct carry_answer answer;
+	bool look;
+
+	look = r->left > ANSWER_ITEMS;
+	memset(&answer, 0, sizeof(answer));
+	answer.number = wire_uint(r, UINT64_MAX);
+	answer.answer = (enum worker_answer)wire_uint(r, ANSWER_REFUSED);
+	answer.clock_ms = (int64_t)wire_uint(r, INT64_MAX);
+	if (r->error != WIRE_OK)
+		return;
+	if (look)
+		get_look_answer(g, r, &answer);
+	else if (g->to->answer != NULL)
+		g->to->answer(&answer, g->to->ctx);
+}
+
+/* One damaged answer says nothing about the others. */
+static void
+get_answers(struct reading *g, struct wire_reader *r)
+{
+	struct wire_reader list, one;
+	char member[ELECT_ID_MAX];
+
+	wire_str(r, member, sizeof(member));
+	list = wire_array(r, ITEMS_MAX);
+	while (list.error == WIRE_OK && list.left > 0) {
+		one = wire_array(&list, LISTS_ITEMS);
+		if (list.error != WIRE_OK)
+			break;
+		get_answer(g, &one);
+		if (one.error != WIRE_OK || one.left > 0)
+			wire_refused("answer");
+	}
+	wire_finish(r, &list);
+}
+
+static void
+get_message(struct wire_reader *r, void *out)
+{
+	struct reading *g;
+	uint64_t version, type;
+
+	g = out;
+	version = wire_uint(r, UINT64_MAX);
+	if (r->error == WIRE_OK && version != CARRY_VERSION) {
+		r->error = WIRE_ERR_VERSION;
+		return;
+	}
+	type = wire_uint(r, UINT64_MAX);
+	if (r->error != WIRE_OK)
+		return;
+	if (type == CARRY_ORDERS)
+		get_orders(g, r);
+	else if (type == CARRY_ANSWERS)
+		get_answers(g, r);
+	else
+		r->error = WIRE_ERR_TYPE;
+}
+
+bool
+carry_read(const void *data, size_t len, const struct carry_reader *to)
+{
+	enum wire_error error;
+	struct reading g;
+
+	memset(&g, 0, sizeof(g));
+	g.to = to;
+	/* Each text has a byte or more before it, in place of the NUL. */
+	if ((g.texts = malloc(len + 1)) == NULL)
+		return false;
+	error = wire_decode_body(data, len, get_message, &g);
+	free(g.texts);
+	return error == WIRE_OK;
+}
+
+/* A short array of msgpack begins with this and its number of items. */
+#define SHORT_ARRAY 0x90
+
+bool
+carry_is_message(const void *data, size_t len)
+{
+	const uint8_t *bytes;
+
+	bytes = data;
+	return len > 0 && (bytes[0] & 0xf0) == SHORT_ARRAY;
+}
+
+bool
+carry_is_orders(const void *data, size_t len)
+{
+	const uint8_t *bytes;
+
+	bytes = data;
+	return len > 0 && bytes[0] == (SHORT_ARRAY | ORDERS_ITEMS);
+}
