--- a/entry/carryread.c
+++ b/entry/carryread.c
@@ -229,6 +229,7 @@
 	answer->look = &look;
 	if (r->error == WIRE_OK && g->to->answer != NULL)
 		g->to->answer(answer, g->to->ctx);
+	answer->look = NULL;
 	free(running);
 	free(finished);
 }
