--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,16 +29,27 @@
 struct Run {
 	uint32_t attempt;
 	int64_t since_ms;
+	int64_t ends_ms; // done then; 0: it lasts
+};
+
+// A run that is done; told with each look until acknowledged.
+struct End {
+	uint64_t number;
+	std::string name;
+	uint32_t attempt;
 };
 
 // A worker's own clock is slow by kSlowClock; its lease is measured on it.
 struct Worker {
 	bool listed = false;
 	bool draining = false;
+	int64_t leaves_ms = 0; // as it says while it drains
 	bool reachable = true;
 	int64_t lease = 0; // on its clock
 	uint64_t token = 0;
 	std::map<std::string, Run> runs;
+	uint64_t last_end = 0;
+	std::vector<End> ends;
 
 	static int64_t
 	Clock(int64_t now_ms)
@@ -180,18 +192,39 @@
 			uv_run(&loop, UV_RUN_NOWAIT);
 			uv_sleep(turn_ms);
 		}
-		for (auto &[id, worker] : workers)
+		for (auto &[id, worker] : workers) {
 			Lapse(worker);
+			EndRuns(worker);
+		}
 		WatchTasks();
 	}
 
+	// Runs whose time has come are done.
+	static void
+	EndRuns(Worker &worker)
+	{
+		for (auto run = worker.runs.begin();
+		     run != worker.runs.end();) {
+			if (run->second.ends_ms == 0 ||
+			    run->second.ends_ms > clock_now_ms()) {
+				++run;
+				continue;
+			}
+			worker.ends.push_back({ ++worker.last_end, run->first,
+			    run->second.attempt });
+			run = worker.runs.erase(run);
+		}
+	}
+
 	// How long each task that ran once has been away.
 	void
 	WatchTasks()
 	{
 		for (auto &[id, worker] : workers) {
-			for (auto &[name, run] : worker.runs)
-				seen_ms[name] = clock_now_ms();
+			for (auto &[name, run] : worker.runs) {
+				if (run.ends_ms == 0)
+					seen_ms[name] = clock_now_ms();
+			}
 		}
 		for (auto &[name, at] : seen_ms)
 			longest_away =
@@ -218,11 +251,12 @@
 		Put("w/" + id, id);
 	}
 
-	// The worker says that it leaves.
+	// The worker says that it leaves, and in how long at the earliest.
 	void
-	Drain(const std::string &id)
+	Drain(const std::string &id, int64_t leaves_in_ms = 0)
 	{
 		workers[id].draining = true;
+		workers[id].leaves_ms = clock_now_ms() + leaves_in_ms;
 		Put("w/" + id, id);
 	}
 
@@ -247,9 +281,10 @@
 		revision++;
 	}
 
-	// A job of tasks that are to last.
+	// A job of tasks that are to last, or that are done after so long.
 	void
-	Submit(const std::string &id, uint32_t count, int64_t cpu = 1000)
+	Submit(const std::string &id, uint32_t count, int64_t cpu = 1000,
+	    int64_t run_ms = 0)
 	{
 		struct graph *g = graph_new(1);
 
@@ -259,8 +294,10 @@
 		g->payload = strdup("p");
 		g->steps[0].count = count;
 		g->steps[0].size = { cpu, 100, 0 };
-		g->steps[0].estimate_ms = 300;
-		g->steps[0].lasts = true;
+		g->steps[0].estimate_ms = run_ms > 0 ? run_ms : 300;
+		g->steps[0].lasts = run_ms == 0;
+		if (run_ms > 0)
+			run_times[id] = run_ms;
 		node_submit(
 		    nodes.front(), g, clock_now_ms() + 3000, Replied, this);
 	}
@@ -316,9 +353,6 @@
 				WorkerGone("w" + std::to_string(left));
 				AddWorker("new" + std::to_string(left));
 			}
-			if (left >= static_cast<int64_t>(kWorkers) &&
-			    Running() == kWorkers)
-				return;
 			if (left >= static_cast<int64_t>(kWorkers) &&
 			    Running() == kWorkers)
 				return;
@@ -533,6 +567,7 @@
 			struct worker_result result;
 			struct look_result list;
 			std::vector<struct look_running> running;
+			std::vector<struct look_finished> finished;
 
 			memset(&result, 0, sizeof(result));
 			memset(&list, 0, sizeof(list));
@@ -560,6 +595,18 @@
 			}
 			list.running = running.data();
 			list.nrunning = running.size();
+			for (auto &end : worker.ends) {
+				struct look_finished row;
+				memset(&row, 0, sizeof(row));
+				row.number = end.number;
+				ReadName(end.name, &row.task);
+				row.attempt = end.attempt;
+				row.how = END_DONE;
+				row.checkpoint = "";
+				finished.push_back(row);
+			}
+			list.finished = finished.data();
+			list.nfinished = finished.size();
 			if (look && result.answer == ANSWER_OK)
 				result.look = &list;
 			done(&result, done_ctx);
@@ -580,6 +627,16 @@
 		    task->job, name.substr(0, dot).c_str(), sizeof(task->job));
 		task->index = (uint32_t)std::stoul(name.substr(dot + 1));
 	}
+	// When a task that starts now is done; 0: it lasts.
+	int64_t
+	EndOf(const std::string &name) const
+	{
+		auto found = run_times.find(name.substr(0, name.find('.')));
+
+		return found == run_times.end() ?
+		    0 :
+		    clock_now_ms() + found->second;
+	}
 	static void
 	Start(void *ctx, const struct worker_start *start, worker_done *done,
 	    void *done_ctx)
@@ -596,7 +653,8 @@
 			}
 			if (worker.draining)
 				self->starts_draining++;
-			worker.runs[name] = { attempt, clock_now_ms() };
+			worker.runs[name] = { attempt, clock_now_ms(),
+				self->EndOf(name) };
 			if (deadline > worker.lease)
 				worker.lease = deadline;
 		});
@@ -623,12 +681,17 @@
 		struct worker_order order = { look->worker, nullptr, 0,
 			look->term };
 		int64_t deadline = look->deadline_ms;
+		uint64_t acknowledged = look->acknowledged;
 
 		Self(ctx)->Order(
 		    order, done, done_ctx,
 		    [=](Worker &worker) {
 			    if (deadline > worker.lease)
 				    worker.lease = deadline;
+			    auto &ends = worker.ends;
+			    while (!ends.empty() &&
+				ends.front().number <= acknowledged)
+				    ends.erase(ends.begin());
 		    },
 		    true);
 	}
@@ -652,6 +715,8 @@
 		strlcpy(info->service, "s", sizeof(info->service));
 		info->capacity = { 8000, 8000, 0 };
 		info->draining = Self(ctx)->workers[id].draining;
+		info->leaves_in_ms = std::max<int64_t>(
+		    0, Self(ctx)->workers[id].leaves_ms - clock_now_ms());
 		return true;
 	}
 	static const char *
@@ -664,6 +729,10 @@
 	{
 		if (reply->outcome == NODE_ACCEPTED)
 			Self(ctx)->accepted++;
+		if (reply->outcome == NODE_NOT_DONE) {
+			Self(ctx)->refused++;
+			Self(ctx)->retry_after_ms = reply->retry_after_ms;
+		}
 	}
 
 	uv_loop_t loop;
@@ -688,12 +757,16 @@
 	int64_t revision = 1;
 	std::map<std::string, Worker> workers;
 	std::multimap<int64_t, std::function<void()>> events;
+	std::map<std::string, int64_t> run_times; // by job, of those that end
 	std::map<std::string, int64_t> seen_ms;
 	int64_t longest_away = 0;
-	int accepted = 0, doubles = 0, starts_draining = 0;
+	int accepted = 0, refused = 0, doubles = 0, starts_draining = 0;
+	int64_t retry_after_ms = 0; // of the last refusal
 
 	// The users' bound on how long a task that lasts may be away.
 	static constexpr int64_t kAwayMax = 9000;
+	// From then on an absence counts, if it goes on.
+	static constexpr int64_t kAwayCounts = 6000;
 	static constexpr size_t kWorkers = 8;
 };
 
--- a/tests/test_handover.cc
+++ b/tests/test_handover.cc
@@ -310,3 +310,48 @@
 	Pass(1500);
 	EXPECT_EQ(workers["second"].runs.size(), 1u);
 }
+
+// Callers of a lasting task find nobody for over eight seconds, with a worker
+// free for it.  Its worker says four seconds ahead when it leaves, but there is
+// no room to move the task to until then.  The leader is killed as the worker
+// goes, so that the next one can't know when the lease was last renewed.
+TEST_F(Handover, ATaskIsBackSoonAfterADepartureThatWasAnnounced)
+{
+	constexpr int64_t kNotice = 4000, kNobody = 1000;
+
+	Open();
+	Pass(1500);
+	FillWorkers();
+	Drain("w0", kNotice);
+	Pass(kNotice);
+	WorkerGone("w0");
+	AddWorker("new");
+	Pass(200);
+	Close();
+	Pass(kNobody);
+	Open();
+	PassUntilRunning(kWorkers, 2 * kAwayMax);
+	EXPECT_EQ(Running(), kWorkers);
+	EXPECT_LT(longest_away, kAwayCounts);
+	EXPECT_EQ(doubles, 0);
+}
+
+// The same without a change of the leader.  The worker stays for seconds longer
+// than it said; its task works on all the while.
+TEST_F(Handover, AWorkerThatStaysLongerThanItSaidKeepsItsTask)
+{
+	constexpr int64_t kNotice = 4000, kLonger = 6000;
+
+	Open();
+	Pass(1500);
+	FillWorkers();
+	Drain("w0", kNotice);
+	Pass(kNotice + kLonger);
+	EXPECT_EQ(Running(), kWorkers);
+	EXPECT_LT(longest_away, kStep);
+	WorkerGone("w0");
+	AddWorker("new");
+	PassUntilRunning(kWorkers, 2 * kAwayMax);
+	EXPECT_LT(longest_away, kLease);
+	EXPECT_EQ(doubles, 0);
+}
