Refuse new jobs that last while short work needs the room

Callers saw short work wait past its deadline for as long as jobs that last kept coming. The mend holds because the leader measures what short work asks for and keeps just that from jobs not yet taken; tasks of jobs that were taken still go first, so that none waits with room for it. A refused caller learns so at once; a job that an earlier try stored isn't refused.

--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -74,6 +74,11 @@
 /* A worker would take the task now. */
 bool place_has_room(struct sched *, const struct sched_task *, int64_t now_ms);
 
+/* sched_headroom.c */
+/* A step of the queue may run now. */
+void headroom_opened(
+    struct sched_queue *, const struct graph_step *, int64_t now_ms);
+
 /* sched_leave.c */
 /* Stop what lasts on workers that leave, so that it goes on elsewhere. */
 void leave_move(struct sched *, int64_t now_ms);
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -63,6 +63,8 @@
 	job->origin = origin;
 	job->submitted_ms = submitted_ms;
 	job->change = job->saved = 1;
+	if (graph_lasts(graph))
+		queue->lasting = true;
 	TAILQ_INSERT_TAIL(&s->open, job, link);
 	adopt_strays(s, job, now_ms);
 	if (origin != ORIGIN_INHERITED)
@@ -386,6 +388,7 @@
 	if (step_tasks(step) == NULL)
 		return;
 	step->open = true;
+	headroom_opened(step->occurrence->job->queue, step->spec, now_ms);
 	step->image = press_image(s->press, step->spec->image);
 	for (i = 0; i < step->spec->count; i++) {
 		if (step->tasks[i].state == SCHED_BLOCKED)
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -34,6 +34,15 @@
 struct sched_task;
 struct sched_worker;
 
+/* Short work of a queue that came lately; see sched_headroom.c. */
+struct sched_demand {
+	int64_t since_ms; /* when the first came; 0: none yet */
+	int64_t at_ms; /* the sums are faded to this time */
+	double work; /* as declared, in thousandths of a processor times ms */
+	double tasks;
+	double cpu; /* of these tasks, in thousandths */
+};
+
 /* What a queue asks for; may change while jobs of it run. */
 struct sched_queue {
 	TAILQ_ENTRY(sched_queue) link;
@@ -41,6 +50,9 @@
 	struct queue_terms terms;
 	double run_ratio; /* learnt: measured over declared run time */
 	uint32_t pending; /* of the last count of jobs that have not begun */
+	struct sched_demand demand;
+	bool lasting; /* jobs that last have come */
+	bool full; /* of the last look at its headroom */
 };
 
 #define PACE_UNKNOWN (-1) /* an order on it was lost */
@@ -542,6 +554,21 @@
     const struct task_name *, uint32_t attempt, enum worker_answer,
     int64_t now_ms);
 
+/*
+ * Room for new jobs that last beside short work, in thousandths of a
+ * processor.
+ */
+struct sched_headroom {
+	bool full; /* there is none */
+	int64_t left; /* free, in pieces that hold a short task */
+	int64_t lent; /* used by short work now */
+	int64_t owed; /* asked by what lasts and isn't at work */
+	int64_t need; /* of short work; 0: none comes */
+	int64_t piece; /* of one short task */
+};
+void sched_measure_headroom(struct sched *, const struct sched_queue *,
+    struct sched_headroom *, int64_t now_ms);
+
 void sched_measure(struct sched *, struct sched_load *, int64_t now_ms);
 
 /* Send what is due.  Call it after events and at sched->next_ms. */
--- a/entry/accept.c
+++ b/entry/accept.c
@@ -25,6 +25,8 @@
 #define STORE_DOWN_MS 1500
 /* When to come back after an outage was seen, in milliseconds. */
 #define STORE_RETRY_MS 1000
+/* The same where jobs that last have no room: others must end first. */
+#define FULL_RETRY_MS 3000
 /* The leader is told of a stored job for so long; it also watches. */
 #define NOTICE_MS 20000
 
@@ -39,6 +41,7 @@
 	bool unsure; /* a write of it may be done yet */
 	bool relayed; /* for another entry: not passed on again */
 	bool alone; /* in a write of its own, to see whose condition failed */
+	bool full; /* it lasts, and there is no room for it */
 	node_replied *replied;
 	void *ctx;
 };
@@ -48,6 +51,7 @@
 	struct node *node;
 	struct new_jobs waiting;
 	uint32_t writes; /* under way */
+	uint32_t reads; /* the same */
 	bool closed;
 };
 
@@ -57,6 +61,8 @@
 };
 
 static void on_written(const struct kv_result *, void *);
+static void on_job_read(const struct kv_result *, void *);
+static void on_ended_read(const struct kv_result *, void *);
 
 struct accept *
 accept_open(struct node *node)
@@ -73,7 +79,7 @@
 bool
 accept_idle(const struct accept *a)
 {
-	return a->writes == 0 && TAILQ_EMPTY(&a->waiting);
+	return a->writes == 0 && a->reads == 0 && TAILQ_EMPTY(&a->waiting);
 }
 
 static void
@@ -160,6 +166,30 @@
 	return true;
 }
 
+/*
+ * A job without room may have been stored by an earlier try whose answer was
+ * lost.  It runs then, and its caller isn't told that it doesn't.
+ */
+static void
+read_key(struct new_job *job, const char *prefix, kv_done *done)
+{
+	const struct kv_ops *kv;
+	char key[KEY_MAX];
+
+	kv = &job->accept->node->opt.kv;
+	snprintf(key, sizeof(key), "%s%s", prefix, job->id);
+	job->accept->reads++;
+	kv->get(kv->self, key, done, job);
+}
+
+/* The last call under way has come back after accept_close(). */
+static void
+accept_release(struct accept *a)
+{
+	if (a->closed && a->writes == 0 && a->reads == 0)
+		free(a);
+}
+
 static void
 submit(struct accept *a, struct new_job *job)
 {
@@ -175,10 +205,59 @@
 			give_up(job, "store_down");
 		return;
 	}
+	if (job->full) {
+		read_key(job, KEY_JOB, on_job_read);
+		return;
+	}
 	TAILQ_INSERT_TAIL(&a->waiting, job, link);
 	accept_tick(a, now_ms);
 }
 
+/* What the store has in the place of a job without room. */
+static void
+found(struct new_job *job, const struct kv_result *result,
+    void (*unknown)(struct new_job *))
+{
+	struct accept *a;
+
+	a = job->accept;
+	a->reads--;
+	if (a->closed)
+		give_up(job, "closing");
+	else if (result->error != KV_OK) {
+		job->full = false;
+		submit(a, job);
+	} else if (result->nitems > 0)
+		finish(job, NODE_ACCEPTED, "stored_before", 0);
+	else
+		unknown(job);
+	accept_release(a);
+}
+
+static void
+look_for_end(struct new_job *job)
+{
+	read_key(job, KEY_ENDED, on_ended_read);
+}
+
+static void
+refuse_full(struct new_job *job)
+{
+	finish(job, NODE_NOT_DONE, "no_room", FULL_RETRY_MS);
+}
+
+static void
+on_job_read(const struct kv_result *result, void *ctx)
+{
+	found(ctx, result, look_for_end);
+}
+
+static void
+on_ended_read(const struct kv_result *result, void *ctx)
+{
+	found(ctx, result, refuse_full);
+}
+
 static struct new_job *
 job_new(struct accept *a, const char *id, int64_t deadline_ms,
     node_replied *replied, void *ctx)
@@ -211,6 +290,9 @@
 	struct new_job *job;
 
 	job = job_new(node->accept, graph->id, deadline_ms, replied, ctx);
+	if (job != NULL)
+		job->full = graph_lasts(graph) &&
+		    node_queue_full(node, graph->queue, clock_now_ms());
 	if (job != NULL)
 		job->text = codec_graph(graph, &job->len);
 	graph_free(graph);
@@ -393,10 +475,9 @@
 		settle(a, job, result);
 	}
 	free(write);
-	if (a->closed && a->writes == 0)
-		free(a);
-	else if (!a->closed)
+	if (!a->closed)
 		accept_tick(a, clock_now_ms());
+	accept_release(a);
 }
 
 void
@@ -409,6 +490,5 @@
 		give_up(job, "closing");
 	}
 	a->closed = true;
-	if (a->writes == 0)
-		free(a);
+	accept_release(a);
 }
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -436,6 +436,40 @@
 	lead_kick(l);
 }
 
+static void
+note_full(struct sched_queue *queue, const struct sched_headroom *room)
+{
+	if (queue->full == room->full)
+		return;
+	queue->full = room->full;
+	log_info(room->full ? "queue_full" : "queue_open",
+	    "queue=%s left=%lld lent=%lld owed=%lld need=%lld piece=%lld",
+	    queue->name, (long long)room->left, (long long)room->lent,
+	    (long long)room->owed, (long long)room->need,
+	    (long long)room->piece);
+}
+
+json_t *
+lead_full(struct lead *l)
+{
+	struct sched_headroom room;
+	struct sched_queue *queue;
+	json_t *full;
+
+	full = json_array();
+	if (!l->ready)
+		return full;
+	TAILQ_FOREACH (queue, &l->sched->queues, link) {
+		if (!queue->lasting)
+			continue;
+		sched_measure_headroom(l->sched, queue, &room, clock_now_ms());
+		note_full(queue, &room);
+		if (room.full)
+			json_array_append_new(full, json_string(queue->name));
+	}
+	return full;
+}
+
 json_t *
 lead_pending(struct lead *l)
 {
--- a/entry/members.c
+++ b/entry/members.c
@@ -350,6 +350,15 @@
 	return true;
 }
 
+/* Takes the list over; NULL: the leader's version knows of none. */
+static void
+set_full(struct node *node, json_t *full, int64_t now_ms)
+{
+	json_decref(node->full);
+	node->full = full;
+	node->full_ms = now_ms;
+}
+
 static void
 on_beat(struct node *node, const json_t *message, int64_t now_ms)
 {
@@ -392,6 +401,7 @@
 	json_decref(node->pending);
 	node->pending = json_incref(json_object_get(message, "pending"));
 	node->pending_ms = now_ms;
+	set_full(node, json_incref(json_object_get(message, "full")), now_ms);
 }
 
 static void
@@ -556,14 +566,14 @@
 static json_t *
 common_beat(struct node *node, int64_t now_ms, uint32_t members)
 {
-	return json_pack("{ss ss ss sI sI sI sb sI si so}", "t", "beat", "id",
-	    node->id, "address", node->address, "incarnation",
+	return json_pack("{ss ss ss sI sI sI sb sI si so sO}", "t", "beat",
+	    "id", node->id, "address", node->address, "incarnation",
 	    (json_int_t)node->incarnation, "term",
 	    (json_int_t)node->elect.leader.term, "revision",
 	    (json_int_t)node->elect.leader.revision, "store",
 	    (int)lead_has_store(node->lead, now_ms), "config",
 	    (json_int_t)node->config_version, "members", (int)members,
-	    "pending", lead_pending(node->lead));
+	    "pending", lead_pending(node->lead), "full", node->full);
 }
 
 static json_t *
@@ -604,6 +614,7 @@
 
 	drop_silent(node, now_ms);
 	n = count_members(node);
+	set_full(node, lead_full(node->lead), now_ms);
 	common = common_beat(node, now_ms, n > 0 ? n - 1 : 0);
 	list = list_members(node);
 	learnt = NULL;
--- a/entry/node.c
+++ b/entry/node.c
@@ -180,6 +180,8 @@
 	members_close(node);
 	json_decref(node->pending);
 	node->pending = NULL;
+	json_decref(node->full);
+	node->full = NULL;
 	json_decref(node->learnt);
 	node->learnt = NULL;
 	uv_timer_stop(&node->timer);
@@ -239,3 +241,23 @@
 		return -1;
 	return json_integer_value(json_object_get(node->pending, queue));
 }
+
+/* Word of full queues older than this says nothing of the room now. */
+#define FULL_MS 1500
+
+bool
+node_queue_full(const struct node *node, const char *queue, int64_t now_ms)
+{
+	const json_t *name;
+	size_t i;
+
+	if (now_ms - node->full_ms > FULL_MS)
+		return false;
+	json_array_foreach(node->full, i, name)
+	{
+		if (json_is_string(name) &&
+		    strcmp(json_string_value(name), queue) == 0)
+			return true;
+	}
+	return false;
+}
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -136,6 +136,8 @@
 	json_t *learnt; /* what the leader knew of fillers, or NULL */
 	json_t *pending;
 	int64_t pending_ms;
+	json_t *full; /* queues that take no jobs that last, or NULL */
+	int64_t full_ms; /* when the leader said so */
 };
 
 /* members.c: messages between entries */
@@ -173,6 +175,10 @@
 /* config.c */
 void config_tick(struct node *, int64_t now_ms);
 
+/* node.c */
+/* The leader has no room for new jobs that last in this queue. */
+bool node_queue_full(const struct node *, const char *queue, int64_t now_ms);
+
 /* election.c: the leader's record in the store */
 void election_read(struct elect *, void *ctx);
 void election_take(struct elect *, uint64_t term, int64_t revision, void *);
@@ -190,6 +196,8 @@
 /* No leader of an earlier term acts any more. */
 bool lead_is_alone(const struct lead *, int64_t now_ms);
 json_t *lead_pending(struct lead *);
+/* Queues that take no new jobs that last; see sched_measure_headroom(). */
+json_t *lead_full(struct lead *);
 /* What was learnt of fillers, for a next leader; see press_each(). */
 json_t *lead_learnt(struct lead *);
 typedef void lead_answered(
