Hand the lead over to a stronger member; keep it through outages that hit all

Cause, by the entries' logs: the leader and all others lost the store for 2 s; as it came back all that asked took the lead in the same 10 ms, and one with 0.12 of a core and 10 Mbit/s was the first to write (load_ms=865 beside 41, waiting=2655 beside 473). Members now have the store for a while before they depose a leader for want of it, and a leader resigns for one with 1.5 times its power that is heard for 2 s. Ruled out: the order of jobs, the load (alike until that second).

--- a/core/elect.c
+++ b/core/elect.c
@@ -52,14 +52,29 @@
 	return (int64_t)rank * RANK_STEP_MS;
 }
 
-/* The leader is silent, or says that it has lost the store. */
+static int64_t
+later(int64_t a_ms, int64_t b_ms)
+{
+	return a_ms > b_ms ? a_ms : b_ms;
+}
+
+/*
+ * The leader is silent, or has lost the store though we have had it for a
+ * while.  After an outage that hit all of us it gets the store back when we do.
+ * Without the wait all that ask would take its term in that moment, and the
+ * first to write would lead, however weak.
+ */
 static bool
 suspects(const struct elect *e, int64_t now_ms)
 {
+	int64_t since_ms;
+
 	if (now_ms - e->heard_ms >= SILENCE_MS + patience(e))
 		return true;
+	since_ms =
+	    later(e->no_store_ms, later(e->store_failed_ms, e->store_back_ms));
 	return !e->leader_has_store &&
-	    now_ms - e->no_store_ms >= NO_STORE_MS + patience(e);
+	    now_ms - since_ms >= NO_STORE_MS + patience(e);
 }
 
 static void
@@ -203,16 +218,25 @@
 	e->retry_ms = 0;
 }
 
+void
+elect_store_failed(struct elect *e, int64_t at_ms)
+{
+	e->store_failed_ms = later(e->store_failed_ms, at_ms);
+}
+
 void
 elect_read(struct elect *e, const struct elect_record *record, int64_t now_ms)
 {
 	e->reading = false;
 	if (record == NULL) {
+		elect_store_failed(e, now_ms);
 		/* An unknown take stays open until the record is read. */
 		if (e->role == ELECT_TAKING)
 			e->retry_ms = now_ms + RETRY_MS;
 		return;
 	}
+	if (e->store_back_ms <= e->store_failed_ms && e->store_failed_ms != 0)
+		e->store_back_ms = now_ms;
 	if (e->pulse_ms == 0 || e->pulse_revision != record->pulse_revision) {
 		e->pulse_revision = record->pulse_revision;
 		e->pulse_ms = now_ms;
--- a/core/elect.h
+++ b/core/elect.h
@@ -67,6 +67,8 @@
 	int64_t heard_ms; /* the leader's last beat */
 	bool leader_has_store; /* as its last beat said */
 	int64_t no_store_ms; /* since when it said no */
+	int64_t store_failed_ms; /* when we had no answer of the store */
+	int64_t store_back_ms; /* when it first answered after that */
 	uint32_t rank; /* among those that may follow it, 0 first */
 	uint32_t members; /* others that the leader knows, it excluded */
 	uint32_t grants; /* of the question under way */
@@ -98,6 +100,8 @@
  * one does for a while that was replaced without knowing.
  */
 void elect_resigned(struct elect *, uint64_t term, bool alone, int64_t now_ms);
+/* The store didn't answer us then. */
+void elect_store_failed(struct elect *, int64_t at_ms);
 /* record NULL: the read failed. */
 void elect_read(struct elect *, const struct elect_record *, int64_t now_ms);
 
--- a/entry/members.c
+++ b/entry/members.c
@@ -29,6 +29,11 @@
 /* To so many that would lead next; others find it in the store. */
 #define LEARNT_HEIRS 3
 
+/* A member with so many times our power leads better, */
+#define STRONGER_TIMES 1.5
+/* if it was heard so lately: its greetings come each HELLO_MS. */
+#define STRONGER_HEARD_MS 1200
+
 #define ZMTP_HEARTBEAT_MS 500
 #define ZMTP_TIMEOUT_MS 1500
 #define QUEUE_MAX 4096
@@ -203,6 +208,21 @@
 	return member;
 }
 
+bool
+members_stronger(const struct node *node, int64_t now_ms)
+{
+	const struct member *member;
+
+	TAILQ_FOREACH (member, &node->members, link) {
+		if (member->power >= STRONGER_TIMES * node->opt.power &&
+		    !member->leaving && member->has_store &&
+		    member->term == node->elect.leader.term &&
+		    now_ms - member->heard_ms < STRONGER_HEARD_MS)
+			return true;
+	}
+	return false;
+}
+
 /* The election's callbacks. */
 
 static void
@@ -293,6 +313,7 @@
 	member->heard_ms = now_ms;
 	member->term = (uint64_t)number_of(message, "term");
 	member->leaving = json_is_true(json_object_get(message, "leaving"));
+	member->has_store = json_is_true(json_object_get(message, "store"));
 	member->carries = number_of(message, "carries") == CARRY_VERSION;
 	member->listed = (uint64_t)number_of(message, "listed");
 	set_data_center(node, member, text_of(message, "data_center"));
@@ -646,7 +667,7 @@
 	    peer_connect(node->peer, leader->id, leader->address) != PEER_OK)
 		return true;
 	return members_send(node, leader->id,
-	    json_pack("{ss ss ss ss sf sI sI si sI sb}", "t", "hello", "id",
+	    json_pack("{ss ss ss ss sf sI sI si sI sb sb}", "t", "hello", "id",
 		node->id, "data_center", node->opt.data_center, "address",
 		node->address, "power", node->opt.power, "term",
 		(json_int_t)leader->term, "config",
@@ -654,7 +675,8 @@
 		"listed",
 		(json_int_t)(node->list_term == leader->term ? node->list_seen :
 							       0),
-		"leaving", (int)node->leaving));
+		"leaving", (int)node->leaving, "store",
+		(int)node_has_store(node)));
 }
 
 void
--- a/entry/node.c
+++ b/entry/node.c
@@ -19,6 +19,8 @@
 #define LINK_BURST_MS 100
 /* Leaving, requests under way get so long to be answered. */
 #define LEAVE_MS 1500
+/* A stronger member that stays so long won't be gone in a moment. */
+#define OUTRANKED_MS 2000
 
 static void on_tick(uv_timer_t *);
 static void on_handle_closed(uv_handle_t *);
@@ -121,6 +123,50 @@
 	on_left(node->left_ctx);
 }
 
+bool
+node_has_store(const struct node *node)
+{
+	const struct kv_ops *kv;
+
+	kv = &node->opt.kv;
+	return kv->answered_ms(kv->self) > kv->failed_ms(kv->self);
+}
+
+/* Give the lead up: a member takes it over at once. */
+static void
+hand_over(struct node *node, const char *reason, int64_t now_ms)
+{
+	bool alone;
+
+	alone = lead_is_alone(node->lead, now_ms);
+	node_step_down(node, reason);
+	members_resign(node, alone);
+}
+
+/*
+ * A weak entry may have led first, while the strong ones were away or slower.
+ * Its processor and link can't follow what hundreds of workers tell, so that
+ * all jobs take longer for as long as it leads; a change takes a tenth of a
+ * second.  Only once no former leader acts any more: the next one would have to
+ * wait for it.
+ */
+static void
+check_outranked(struct node *node, int64_t now_ms)
+{
+	if (!lead_has_store(node->lead, now_ms) ||
+	    !lead_is_alone(node->lead, now_ms) ||
+	    !members_stronger(node, now_ms)) {
+		node->outranked_ms = 0;
+		return;
+	}
+	if (node->outranked_ms == 0)
+		node->outranked_ms = now_ms;
+	if (now_ms - node->outranked_ms < OUTRANKED_MS)
+		return;
+	node->outranked_ms = 0;
+	hand_over(node, "stronger_member", now_ms);
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -131,12 +177,16 @@
 	if (node->closing)
 		return;
 	now_ms = clock_now_ms();
+	elect_store_failed(
+	    &node->elect, node->opt.kv.failed_ms(node->opt.kv.self));
 	if (!node->leaving)
 		elect_tick(&node->elect, now_ms);
 	members_tick(node, now_ms);
 	config_tick(node, now_ms);
 	if (node->lead != NULL)
 		lead_tick(node->lead, now_ms);
+	if (node->lead != NULL)
+		check_outranked(node, now_ms);
 	asks_tick(node, now_ms);
 	accept_tick(node->accept, now_ms);
 	leave_tick(node, now_ms);
@@ -153,18 +203,13 @@
 void
 node_leave(struct node *node, void (*on_left)(void *), void *ctx)
 {
-	bool alone;
-
 	node->leaving = true;
 	node->leaving_ms = clock_now_ms();
 	node->on_left = on_left;
 	node->left_ctx = ctx;
 	node->hello_ms = 0; /* the leader should know at once */
-	if (node->lead == NULL)
-		return;
-	alone = lead_is_alone(node->lead, node->leaving_ms);
-	node_step_down(node, "leaving");
-	members_resign(node, alone);
+	if (node->lead != NULL)
+		hand_over(node, "leaving", node->leaving_ms);
 }
 
 void
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -48,6 +48,7 @@
 	int64_t heard_ms;
 	uint64_t term; /* that it follows */
 	bool leaving; /* it won't lead */
+	bool has_store; /* the store answers it */
 	char data_center[GRAPH_NAME_MAX];
 	int64_t
 	    rest_until_ms; /* it lost an order: it carries none until then */
@@ -138,6 +139,7 @@
 	int64_t pending_ms;
 	json_t *full; /* queues that take no jobs that last, or NULL */
 	int64_t full_ms; /* when the leader said so */
+	int64_t outranked_ms; /* as leader, by a member since; 0: by none */
 };
 
 /* members.c: messages between entries */
@@ -149,6 +151,8 @@
 /* Bytes of a message of that kind; the same. */
 bool members_send_bytes(
     struct node *, const char *id, const char *kind, const void *, size_t len);
+/* A member that is much stronger than we are, and could lead. */
+bool members_stronger(const struct node *, int64_t now_ms);
 /* Tell the members that we lead no more: one of them takes over at once. */
 void members_resign(struct node *, bool alone);
 extern const struct elect_actions node_elect_actions;
@@ -176,6 +180,8 @@
 void config_tick(struct node *, int64_t now_ms);
 
 /* node.c */
+/* The store answers us, as far as we know. */
+bool node_has_store(const struct node *);
 /* The leader has no room for new jobs that last in this queue. */
 bool node_queue_full(const struct node *, const char *queue, int64_t now_ms);
 
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -88,7 +88,7 @@
 
 	// An entry that has just started; the first one leads.
 	struct node *
-	Open(const char *id = "e1")
+	Open(const char *id = "e1", double power = 1)
 	{
 		struct node_options options;
 		struct node *opened = nullptr;
@@ -99,7 +99,7 @@
 		options.id = id;
 		options.ip = "127.0.0.1";
 		options.data_center = "here";
-		options.power = 1;
+		options.power = power;
 		options.link_bytes_per_s = 125e6;
 		options.lease_max_ms = kLease;
 		options.keep_ms = keep_ms;
--- a/tests/test_elect.cc
+++ b/tests/test_elect.cc
@@ -68,6 +68,19 @@
 		}
 	}
 
+	// Reads under way give the record, or fail; all members agree.
+	void
+	AnswerAsks(const struct elect_record *record)
+	{
+		if (reads > reads_answered) {
+			reads_answered = reads;
+			elect_read(&e, record, now);
+		}
+		for (int i = 0; i < 3 && e.role == ELECT_ASKING; i++)
+			elect_vote(&e, 3, true, false);
+		elect_tick(&e, now);
+	}
+
 	static Elect *
 	Self(void *ctx)
 	{
@@ -100,7 +113,7 @@
 	struct elect e;
 	int64_t now = 50000, revision = -1;
 	uint64_t term = 0;
-	int asks = 0, reads = 0, takes = 0;
+	int asks = 0, reads = 0, takes = 0, reads_answered = 0;
 };
 
 } // namespace
@@ -331,3 +344,48 @@
 	elect_taken(&e, TAKE_DONE, 41, now);
 	EXPECT_FALSE(e.former_over);
 }
+
+// Callers wait twice as long for their jobs after an outage of the store, until
+// the end of the day: one of the weakest entries leads.  The leader and all
+// others lose the store for two seconds.  As it comes back all that had asked
+// for the lead take it in the same moment, before the leader's word that it has
+// the store again, and the first to write wins, whatever its rank.
+TEST_F(Elect, AnOutageThatHitsAllDeposesNobody)
+{
+	constexpr int64_t kOutage = 2200, kBeat = 150;
+	struct elect_record r = Record("other", 3, 30, 301);
+
+	Follow(3, 2);
+	for (int64_t past = 0; past < kOutage; past += kBeat) {
+		Beat(3, false, 2);
+		Pass(kBeat);
+		AnswerAsks(nullptr);
+	}
+	Pass(20);
+	AnswerAsks(&r);
+	Pass(kBeat - 20);
+	AnswerAsks(&r);
+	Beat(3, true, 2);
+	Pass(1000);
+	EXPECT_EQ(takes, 0);
+}
+
+// The same, but the leader doesn't get the store back: it is replaced.
+TEST_F(Elect, ALeaderThatStaysWithoutTheStoreIsReplacedAfterAnOutage)
+{
+	constexpr int64_t kOutage = 2200, kBeat = 150;
+	struct elect_record r = Record("other", 3, 30, 301);
+
+	Follow(3, 2);
+	for (int64_t past = 0; past < kOutage; past += kBeat) {
+		Beat(3, false, 2);
+		Pass(kBeat);
+		AnswerAsks(nullptr);
+	}
+	for (int64_t past = 0; past < 1500; past += kBeat) {
+		Beat(3, false, 2);
+		Pass(kBeat);
+		AnswerAsks(&r);
+	}
+	EXPECT_EQ(takes, 1);
+}
--- a/tests/test_handover.cc
+++ b/tests/test_handover.cc
@@ -358,3 +358,37 @@
 	EXPECT_LT(longest_away, kLease);
 	EXPECT_EQ(doubles, 0);
 }
+
+// Callers wait twice as long for their jobs until the end of the day.  A weak
+// entry leads, as the strong ones were away or slower when the lead was free,
+// and its processor and link can't follow what workers tell.  It hands over
+// once a stronger one has been heard for a while.
+TEST_F(Handover, AWeakLeaderHandsOverToAStrongerMember)
+{
+	AddWorker("first");
+	Open("weak", 0.12);
+	Pass(1500);
+	Submit("job", 2);
+	Pass(1000);
+	ASSERT_EQ(Running(), 2u);
+	ASSERT_NE(items["lp/leader"].value.find("weak"), std::string::npos);
+	Open("strong", 0.5);
+	Pass(6000);
+	EXPECT_NE(items["lp/leader"].value.find("strong"), std::string::npos);
+	EXPECT_EQ(Running(), 2u);
+	EXPECT_LT(longest_away, kStep);
+	EXPECT_EQ(doubles, 0);
+}
+
+// One that is hardly stronger is no reason for a change.
+TEST_F(Handover, ALeaderStaysBesideOneThatIsHardlyStronger)
+{
+	AddWorker("first");
+	Open("one", 0.24);
+	Pass(1500);
+	Submit("job", 1);
+	Open("other", 0.25);
+	Pass(6000);
+	EXPECT_NE(items["lp/leader"].value.find("one"), std::string::npos);
+	EXPECT_EQ(Running(), 1u);
+}
--- a/tests/test_headroom.cc
+++ b/tests/test_headroom.cc
@@ -105,3 +105,24 @@
 	EXPECT_EQ(refused, 0);
 	EXPECT_EQ(Running(), kWorkers * kTasks);
 }
+
+// The answer to a caller's first try was lost; it tries again while there is no
+// room for jobs that last.  Its job was stored and runs, so that a refusal,
+// which says that it doesn't, would be false.
+TEST_F(Headroom, AJobThatWasStoredBeforeIsNotRefused)
+{
+	Submit("stored", 1, kPiece);
+	Load(5000, false);
+	for (int i = 0; refused == 0 && i < 40; i++)
+		Load(1000, true);
+	ASSERT_GT(refused, 0);
+	int before = refused, accepted_before = accepted;
+	Submit("stored", 1, kPiece);
+	Pass(200);
+	EXPECT_EQ(refused, before);
+	EXPECT_EQ(accepted, accepted_before + 1);
+	Submit("another", 1, kPiece);
+	Pass(200);
+	EXPECT_EQ(refused, before + 1);
+	EXPECT_EQ(items.count("lp/j/another"), 0u);
+}
