--- a/core/sched.c
+++ b/core/sched.c
@@ -153,25 +153,16 @@
 }
 
 static void
-load_of_job(const struct sched_job *job, struct sched_load *load)
+load_of_step(const struct sched_step *step, void *ctx)
 {
-	const struct sched_occurrence *occurrence;
 	const struct sched_task *task;
-	uint32_t k;
-	size_t i;
-
-	for (k = 0; k < job->noccurrences; k++) {
-		occurrence = job->occurrences[k];
-		if (occurrence == NULL || occurrence->done)
-			continue;
-		for (i = 0; i < job->graph->nsteps; i++) {
-			TAILQ_FOREACH (
-			    task, &occurrence->steps[i].waiting, link) {
-				load->waiting++;
-				if (occurrence->steps[i].spec->filler)
-					load->waiting_fillers++;
-			}
-		}
+	struct sched_load *load;
+
+	load = ctx;
+	TAILQ_FOREACH (task, &step->waiting, link) {
+		load->waiting++;
+		if (step->spec->filler)
+			load->waiting_fillers++;
 	}
 }
 
@@ -192,5 +183,5 @@
 		load_of_worker(worker, load);
 	}
 	TAILQ_FOREACH (job, &s->open, link)
-		load_of_job(job, load);
+		job_each_step(job, load_of_step, load);
 }
--- a/core/sched_headroom.c
+++ b/core/sched_headroom.c
@@ -116,10 +116,12 @@
 }
 
 static void
-add_step(const struct sched_step *step, struct sched_headroom *room)
+add_step(const struct sched_step *step, void *ctx)
 {
+	struct sched_headroom *room;
 	uint32_t away;
 
+	room = ctx;
 	if (!step->open)
 		return;
 	if (is_short(step->spec))
@@ -131,22 +133,6 @@
 	room->owed += (int64_t)away * step->spec->size.cpu_millis;
 }
 
-static void
-add_job(const struct sched_job *job, struct sched_headroom *room)
-{
-	const struct sched_occurrence *occurrence;
-	uint32_t k;
-	size_t i;
-
-	for (k = 0; k < job->noccurrences; k++) {
-		occurrence = job->occurrences[k];
-		if (occurrence == NULL || occurrence->done)
-			continue;
-		for (i = 0; i < job->graph->nsteps; i++)
-			add_step(&occurrence->steps[i], room);
-	}
-}
-
 void
 sched_measure_headroom(struct sched *s, const struct sched_queue *queue,
     struct sched_headroom *room, int64_t now_ms)
@@ -161,7 +147,7 @@
 	TAILQ_FOREACH (job, &s->open, link) {
 		if (strcmp(job->queue->terms.service, queue->terms.service) ==
 		    0)
-			add_job(job, room);
+			job_each_step(job, add_step, room);
 	}
 	room->full = room->left + room->lent - room->owed <= room->need;
 }
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -19,6 +19,9 @@
 struct sched_job *task_job(const struct sched_task *);
 void task_leave_waiting(struct sched_task *, enum sched_task_state);
 void job_discard(struct sched *, struct sched_job *);
+/* The steps of occurrences that aren't done. */
+void job_each_step(const struct sched_job *,
+    void (*)(const struct sched_step *, void *ctx), void *ctx);
 void job_retire_old(struct sched *, int64_t now_ms);
 
 /* sched_run.c */
@@ -43,14 +46,6 @@
 void adopt_strays(struct sched *, struct sched_job *, int64_t now_ms);
 
 /* sched_worker.c */
-void worker_heard(const struct sched *, struct sched_worker *, int64_t clock_ms,
-    int64_t now_ms);
-/* Its clock now, as far as it is known. */
-int64_t worker_clock(const struct sched_worker *, int64_t now_ms);
-/* When its clock has surely passed a time on it. */
-int64_t worker_passes(const struct sched_worker *, int64_t worker_ms);
-/* When a worker that hasn't answered this leader has surely lapsed. */
-int64_t worker_unheard_lapses(const struct sched *);
 void worker_died(struct sched *, struct sched_worker *, int64_t now_ms);
 void worker_missed(struct sched *, struct sched_worker *, int64_t now_ms);
 /* Something happened to it: its step is due. */
@@ -62,6 +57,27 @@
 bool worker_usable(const struct sched_worker *, int64_t now_ms);
 void worker_acknowledge(struct sched_worker *);
 
+/* sched_lease.c */
+void worker_heard(const struct sched *, struct sched_worker *, int64_t clock_ms,
+    int64_t now_ms);
+/* Its clock now, as far as it is known. */
+int64_t worker_clock(const struct sched_worker *, int64_t now_ms);
+/* When its clock has surely passed a time on it. */
+int64_t worker_passes(const struct sched_worker *, int64_t worker_ms);
+/* When a worker that hasn't answered this leader has surely lapsed. */
+int64_t worker_unheard_lapses(const struct sched *);
+/* When all that runs there has surely lapsed. */
+int64_t lease_lapses(const struct sched *, const struct sched_worker *);
+/* For a look that is sent now: until when it renews; 0: it doesn't. */
+int64_t lease_renew(
+    const struct sched *, struct sched_worker *, int64_t now_ms);
+/* It has been silent so long that its lease is left to expire. */
+bool lease_is_left(const struct sched_worker *, int64_t now_ms);
+/* Bring what a next leader needs to know of it up to date. */
+void lease_record(struct sched *, struct sched_worker *, int64_t now_ms);
+void lease_want_record(
+    struct sched *, struct sched_worker *, enum worker_record);
+
 /* sched_inherit.c */
 /* It is known that nothing runs there. */
 bool worker_is_empty(const struct sched_worker *);
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -748,3 +748,20 @@
 		job_discard(s, job);
 	}
 }
+
+void
+job_each_step(const struct sched_job *job,
+    void (*each)(const struct sched_step *, void *ctx), void *ctx)
+{
+	const struct sched_occurrence *occurrence;
+	uint32_t k;
+	size_t i;
+
+	for (k = 0; k < job->noccurrences; k++) {
+		occurrence = job->occurrences[k];
+		if (occurrence == NULL || occurrence->done)
+			continue;
+		for (i = 0; i < job->graph->nsteps; i++)
+			each(&occurrence->steps[i], ctx);
+	}
+}
