--- a/core/sched_lease.c
+++ b/core/sched_lease.c
@@ -30,6 +30,7 @@
  */
 #define LEAVE_COVER_MS 2000
 #define LEAVE_SPARE_MS 800
+
 /*
  * With its first answer the worker has seen our term, and a former leader
  * can't renew any more; until then it may have, by a whole lease.  The clock
