Visit a job's steps in one place also when placing; one loop for two tests of an outage

Behaviour is the same: place_job() was a third copy of the walk that the load and the headroom use. The comment on unneeded runs stands at the line it explains.

--- a/core/sched.c
+++ b/core/sched.c
@@ -153,7 +153,7 @@
 }
 
 static void
-load_of_step(const struct sched_step *step, void *ctx)
+load_of_step(struct sched_step *step, void *ctx)
 {
 	const struct sched_task *task;
 	struct sched_load *load;
--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -309,6 +309,7 @@
     const struct look_running *row, int64_t now_ms)
 {
 	struct sched_task *task;
+
 	if (sched_job_find(s, row->task.job) == NULL) {
 		keep_stray(worker, row);
 		s->opt.actions->unknown(s, row->task.job, s->opt.ctx);
@@ -317,9 +318,8 @@
 	task = job_task(s, &row->task);
 	if (task != NULL && task->state != SCHED_DONE &&
 	    !task_job(task)->in_ended)
-		return adopt(s, worker, task, row->attempt,
-		    now_ms); /* A next leader may know less of its job: the
-				record must name it. */
+		return adopt(s, worker, task, row->attempt, now_ms);
+	/* A next leader may know less of its job: the record must name it. */
 	keep_stray(worker, row);
 	worker->unneeded++;
 	s->counts.stops++;
--- a/core/sched_headroom.c
+++ b/core/sched_headroom.c
@@ -116,7 +116,7 @@
 }
 
 static void
-add_step(const struct sched_step *step, void *ctx)
+add_step(struct sched_step *step, void *ctx)
 {
 	struct sched_headroom *room;
 	uint32_t away;
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -21,7 +21,7 @@
 void job_discard(struct sched *, struct sched_job *);
 /* The steps of occurrences that aren't done. */
 void job_each_step(const struct sched_job *,
-    void (*)(const struct sched_step *, void *ctx), void *ctx);
+    void (*)(struct sched_step *, void *ctx), void *ctx);
 void job_retire_old(struct sched *, int64_t now_ms);
 
 /* sched_run.c */
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -751,9 +751,9 @@
 
 void
 job_each_step(const struct sched_job *job,
-    void (*each)(const struct sched_step *, void *ctx), void *ctx)
+    void (*each)(struct sched_step *, void *ctx), void *ctx)
 {
-	const struct sched_occurrence *occurrence;
+	struct sched_occurrence *occurrence;
 	uint32_t k;
 	size_t i;
 
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -454,13 +454,14 @@
 }
 
 static void
-place_step(struct placing *p, struct sched_step *step)
+place_step(struct sched_step *step, void *ctx)
 {
 	struct sched_task *task, *next;
+	struct placing *p;
 
-	if (is_missed(p, step))
+	p = ctx;
+	if (!step->open || is_missed(p, step))
 		return;
-
 	if (step->spec->gang) {
 		place_gang(p, step);
 		return;
@@ -483,24 +484,6 @@
 	}
 }
 
-static void
-place_job(struct placing *p, struct sched_job *job)
-{
-	struct sched_occurrence *occurrence;
-	uint32_t k;
-	size_t i;
-
-	for (k = 0; k < job->noccurrences; k++) {
-		occurrence = job->occurrences[k];
-		if (occurrence == NULL || occurrence->done)
-			continue;
-		for (i = 0; i < job->graph->nsteps; i++) {
-			if (occurrence->steps[i].open)
-				place_step(p, &occurrence->steps[i]);
-		}
-	}
-}
-
 void
 place_waiting(struct sched *s, int64_t now_ms)
 {
@@ -544,7 +527,7 @@
 	p.starts_max =
 	    s->starts_allowed < STARTS_MAX ? s->starts_allowed : STARTS_MAX;
 	for (i = 0; i < n && p.started < p.starts_max; i++)
-		place_job(&p, jobs[i]);
+		job_each_step(jobs[i], place_step, &p);
 	/* What a gang took and gave back makes no more room than before. */
 	s->place_wanted = p.started >= p.starts_max;
 	p.looked += n + p.passed / PASSED_PER_LOOK;
--- a/tests/test_elect.cc
+++ b/tests/test_elect.cc
@@ -81,6 +81,17 @@
 		elect_tick(&e, now);
 	}
 
+	// The leader beats on and says that it has lost the store.
+	void
+	BeatWithoutStore(int64_t for_ms, const struct elect_record *record)
+	{
+		for (int64_t past = 0; past < for_ms; past += kBeat) {
+			Beat(3, false, 2);
+			Pass(kBeat);
+			AnswerAsks(record);
+		}
+	}
+
 	static Elect *
 	Self(void *ctx)
 	{
@@ -108,6 +119,7 @@
 	{
 	}
 
+	static constexpr int64_t kBeat = 150;
 	struct elect_actions actions;
 	struct elect_options options;
 	struct elect e;
@@ -352,15 +364,11 @@
 // the store again, and the first to write wins, whatever its rank.
 TEST_F(Elect, AnOutageThatHitsAllDeposesNobody)
 {
-	constexpr int64_t kOutage = 2200, kBeat = 150;
+	constexpr int64_t kOutage = 2200;
 	struct elect_record r = Record("other", 3, 30, 301);
 
 	Follow(3, 2);
-	for (int64_t past = 0; past < kOutage; past += kBeat) {
-		Beat(3, false, 2);
-		Pass(kBeat);
-		AnswerAsks(nullptr);
-	}
+	BeatWithoutStore(kOutage, nullptr);
 	Pass(20);
 	AnswerAsks(&r);
 	Pass(kBeat - 20);
@@ -373,19 +381,11 @@
 // The same, but the leader doesn't get the store back: it is replaced.
 TEST_F(Elect, ALeaderThatStaysWithoutTheStoreIsReplacedAfterAnOutage)
 {
-	constexpr int64_t kOutage = 2200, kBeat = 150;
+	constexpr int64_t kOutage = 2200;
 	struct elect_record r = Record("other", 3, 30, 301);
 
 	Follow(3, 2);
-	for (int64_t past = 0; past < kOutage; past += kBeat) {
-		Beat(3, false, 2);
-		Pass(kBeat);
-		AnswerAsks(nullptr);
-	}
-	for (int64_t past = 0; past < 1500; past += kBeat) {
-		Beat(3, false, 2);
-		Pass(kBeat);
-		AnswerAsks(&r);
-	}
+	BeatWithoutStore(kOutage, nullptr);
+	BeatWithoutStore(1500, &r);
 	EXPECT_EQ(takes, 1);
 }
