--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -101,6 +101,7 @@
 	p->candidates = calloc(n + 1, sizeof(*p->candidates));
 	if (p->candidates == NULL)
 		return false;
+	p->ncandidates = 0;
 	RB_FOREACH (worker, sched_worker_tree, &p->s->workers) {
 		if (!worker_usable(worker, p->now_ms))
 			continue;
