Say at limits what they guard against; their tuning stands here

Figures that stood in comments: a pass over 490 workers without pauses took a leader over 0.6 s; a weighed worker is taken for 0.1 us and one passed over for a thirtieth, neither measured apart. A draw of a member for each call took 58 % of a leader's processor at 890 workers in trouble. The list of members with each eighth beat, reckoned from 55 bytes a row: 440 KB/s at 96 members.

--- a/core/route.h
+++ b/core/route.h
@@ -13,10 +13,9 @@
  * calls to one worker keep their order; several in turn would each keep
  * connections to it, and workers reset those over their cap.
  *
- * The member is drawn once and kept with the worker.  Drawn anew for each call
- * from 97 members, with the list of all workers that lost calls walked for
- * each, the draw took 58 % of a leader's processor time at 890 workers in
- * trouble: lost calls made the leader slow, and a slow leader loses calls.
+ * The member is drawn once and kept with the worker.  A draw for each call
+ * costs the more, the more members there are and the more calls are lost: lost
+ * calls would make the leader slow, and a slow leader loses calls.
  */
 
 struct route;
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -26,10 +26,8 @@
 /*
  * A pass weighs some workers for each task; after one that weighed many the
  * next comes later, so that a queue of thousands of tasks leaves the entry
- * time for beats.  With 490 workers a pass without this took the leader over
- * 0.6 s and cost it the lead.  To weigh a worker is taken for 0.1 us, and
- * to pass it over for its room for a thirtieth of that; neither was measured
- * apart.
+ * time for beats: else members hear none and depose it.  To pass a worker over
+ * for its room is a small part of weighing it.
  */
 #define LOOKS_PER_MS 4000
 #define PASSED_PER_LOOK 32
--- a/core/sched_share.c
+++ b/core/sched_share.c
@@ -26,10 +26,7 @@
 #define GOOD_SHARE 0.87
 /*
  * Kept in reserve of the load at which a task is late: less than nothing.  It
- * trades lasting tasks for batch jobs.  With 0, -0.02 and -0.03, in 24 plays of
- * a site with 66 workers, 122, 162 and 182 of 1,272 windows of lasting tasks
- * were unserved and batch jobs earned 0.83, 0.85 and 0.85 of their worth; in 2
- * plays of one with 490, 268, 326 and 392 of 4,009, and 0.64, 0.68 and 0.70.
+ * trades lasting tasks, some of which are late for a moment, for batch jobs.
  */
 #define RESERVE (-0.02)
 /* With each second of lateness more is kept in reserve. */
@@ -46,16 +43,13 @@
 /* Between two such measures, so that the first one shows. */
 #define PACE_SETTLE_MS 700
 /*
- * Standing so long, a filler goes elsewhere.  Loads take seconds to fall, and
- * others are low meanwhile: in 24 plays batch jobs earned 0.86 of their worth,
- * with 2.5 s 0.69.
+ * Standing so long, a filler goes elsewhere: loads take seconds to fall, and
+ * others are low meanwhile.
  */
 #define MOVE_AFTER_MS 700
 /*
  * With each move of a task the next one takes twice as long, so many times.
- * Where all workers are pressed it would stand on the next one, too: on 490 of
- * them, in 2 plays, 176 of 1,128 batch jobs weren't served without this and
- * 160 with it.
+ * Where all workers are pressed it would stand on the next one, too.
  */
 #define MOVE_SHIFT_MAX 3
 /* A run without checkpoints is moved only before this much of its work. */
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -7,9 +7,7 @@
 #define LOOK_WAIT_MS 1000
 /*
  * Beside fillers the tails of serving tasks are looked after more closely, the
- * more so where one is near its target: paces are set with each look.  In 24
- * plays 112 of 1,272 windows of lasting tasks were unserved with looks each
- * 250 ms, 124 with 350 ms and 127 with 500 ms.
+ * more so where one is near its target: paces are set with each look.
  */
 #define LOOK_SHARED_MS 500
 #define LOOK_PRESSED_MS 250
@@ -382,8 +380,8 @@
 
 /*
  * Only workers to which something happened, or for which something is due, are
- * stepped.  A step of all of them after each event cost a leader with 890
- * workers more than the events did.
+ * stepped: in a large fleet a step of all of them after each event costs more
+ * than the events do.
  */
 void
 worker_steps(struct sched *s, int64_t now_ms)
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -129,9 +129,8 @@
 /*
  * What was learnt of fillers, as text that stays the lead's; NULL: the store
  * needs no newer one now.  Kept only by entries it would be lost when all lose
- * power.  In 24 plays, most with such an end, 148 of 1,272 windows of lasting
- * tasks were unserved without it and 131 with it.  It has a key of its own, as
- * the pulse is written each 500 ms.
+ * power, and serving tasks would be late until it is learnt anew.  It has a key
+ * of its own, as the pulse is written each 500 ms.
  */
 const char *lead_learnt_text(struct lead *, int64_t now_ms);
 /* As the last leader wrote it; what can't be read is passed over. */
--- a/entry/members.c
+++ b/entry/members.c
@@ -20,8 +20,7 @@
 /*
  * A member that hasn't confirmed the newest list gets it again so often, in
  * milliseconds: greetings, which confirm it, come each HELLO_MS.  Sent to all
- * with each eighth beat the list takes some 440 KB/s of a leader with 96
- * members; that is reckoned from 55 bytes a row, not measured.
+ * in turn it would take bytes by the square of the members.
  */
 #define LIST_MS 600
 /* What was learnt of fillers goes with every so many: each 2.1 s. */
