A soak of real processes on the platform's protocols, and its checker

platstand plays the platform's store, its workers and callers of jobs; mk/soak.sh draws entries, workers, jobs and a series of kills, orderly stops, pauses, SIGHUPs, faults of the store and cut workers from a seed.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # lagoonpin.  "make demo" and "make check" install what they need.
 PROGS	= lagoonpind lagoonpinctl kvstand workstand vmstand lagoonload \
-	  lagoonreplay
+	  lagoonreplay platstand
 DIRS	= lib core entry platform $(foreach p,$(PROGS),$(if $(wildcard $(p)/*.c),$(p)))
 SAN	?= 0
 BUILD	?= target
@@ -31,10 +31,14 @@
 bench: all
 	@sh mk/bench.sh
 
+# A randomized run on the platform's protocols: SEED, JOBS.
+soak: all
+	@SEED=$(or $(SEED),1) sh mk/soak.sh
+
 lint: deps
 	@sh mk/lint.sh
 
 clean:
 	rm -rf build asan
 
-.PHONY: all deps daemon tests check asan demo bench lint clean
+.PHONY: all deps daemon tests check asan demo bench soak lint clean
--- a/mk/lint.sh
+++ b/mk/lint.sh
@@ -5,7 +5,7 @@
 # The lists are meant to be split into words.
 # shellcheck disable=SC2086
 clang-format --dry-run --Werror $sources
-flags="-std=gnu11 -D_GNU_SOURCE -Ilib -Icore -Ientry -Iplatform $(pkg-config --cflags \
+flags="-std=gnu11 -D_GNU_SOURCE -Ilib -Icore -Ientry -Iplatform -I. $(pkg-config --cflags \
     libbsd-overlay libh2o libuv libzmq jansson msgpack libxxhash libcurl gsl)"
 git ls-files '*.c' | xargs -P "$(nproc)" -n 4 sh -c '
 	flags=$1
--- /dev/null
+++ b/mk/soak.sh
@@ -0,0 +1,147 @@
+#!/bin/sh
+# A randomized run of the real programs on the platform's protocols: make soak
+# SEED=N.  Draws a deployment, jobs and a series of faults from the seed,
+# prints them, serves, and ends by itself.  Fails when callers or workers saw
+# what must not happen; docs/SOAK.md tells how to go on from there.
+seed=${SEED:-1}
+name=soak-$seed
+. "$(dirname "$0")/../tests/process/lib.sh"
+. "$top/tests/process/platform.sh"
+fleet_seed=$seed
+
+# Lines of "SECOND EVENT ARGUMENTS": what is done when.  An entry that was
+# stopped or killed is back before it is hit again; the store has one fault at
+# a time.
+draw_schedule()	# ENTRIES WORKERS SECONDS
+{
+	awk -v seed="$seed" -v entries="$1" -v workers="$2" \
+	    -v seconds="$3" '
+	function entry_event(t,	n, back, kind) {
+		n = 1 + int(rand() * entries)
+		back = t + 0.3 + rand() * 2.7
+		kind = int(rand() * 5)
+		if (t < free[n])
+			return
+		free[n] = back + 0.2
+		if (kind == 4) {
+			printf "%.2f hup %d\n", t, n
+			return
+		}
+		if (kind == 3) {
+			printf "%.2f pause %d\n", t, n
+			printf "%.2f resume %d\n", back, n
+			return
+		}
+		printf "%.2f %s %d\n", t, kind == 0 ? "stop" : "kill", n
+		printf "%.2f start %d\n", back, n
+	}
+	function store_event(t,	kind) {
+		kind = int(rand() * 4)
+		if (t < free[0])
+			return
+		if (kind == 3) {
+			printf "%.2f store forget 0\n", t
+			return
+		}
+		free[0] = t + 0.3 + rand() * 1.7
+		printf "%.2f store %s %.2f\n", t,
+		    kind == 0 ? "down" : kind == 1 ? "busy" : "loses",
+		    0.1 + rand() * 0.4
+		printf "%.2f store none 0\n", free[0]
+	}
+	function worker_event(t) {
+		printf "%.2f cut %d %d\n", t, 1 + int(rand() * workers),
+		    500 + rand() * 3500
+	}
+	BEGIN {
+		srand(seed)
+		for (t = 1; t < seconds; t += 0.2 + rand() * 1.2) {
+			what = rand()
+			if (what < 0.2)
+				store_event(t)
+			else if (what < 0.45)
+				worker_event(t)
+			else
+				entry_event(t)
+		}
+	}' | sort -n
+}
+
+pid_of()	# NUMBER
+{
+	eval "echo \$entry_$1_pid"
+}
+
+# An entry that was stopped in order ends well; a killed one can't.
+wait_gone()	# NUMBER
+{
+	wait "$(pid_of "$1")"
+	p_status=$?
+	eval "p_how=\$entry_$1_how"
+	[ "$p_how" = kill ] || [ "$p_status" -eq 0 ] ||
+	    fail "entry $1 left with status $p_status"
+}
+
+act()	# EVENT ARGUMENTS
+{
+	case $1 in
+	kill)
+		eval "entry_$2_how=kill"
+		kill -KILL "$(pid_of "$2")"
+		;;
+	stop)
+		eval "entry_$2_how=stop"
+		kill -TERM "$(pid_of "$2")"
+		;;
+	start)
+		wait_gone "$2"
+		eval "entry_$2_how="
+		start_platform_entry "$2"
+		;;
+	pause) kill -STOP "$(pid_of "$2")" ;;
+	resume) kill -CONT "$(pid_of "$2")" ;;
+	hup) kill -HUP "$(pid_of "$2")" ;;
+	store) set_store_fault "$2" "$3" ;;
+	cut) cut_worker "$2" "$3" ;;
+	esac
+}
+
+play()	# the schedule on standard input
+{
+	p_at=0
+	while read -r p_second p_event p_first p_second_argument; do
+		sleep "$(awk -v a="$p_second" -v b="$p_at" \
+		    'BEGIN { print (a > b ? a - b : 0) }')"
+		p_at=$p_second
+		act "$p_event" "$p_first" "$p_second_argument"
+	done
+}
+
+all_live()
+{
+	p_entry=1
+	while [ "$p_entry" -le "$entries_n" ]; do
+		kill -0 "$(pid_of "$p_entry")" 2>/dev/null ||
+		    fail "entry $p_entry ended by itself"
+		p_entry=$((p_entry + 1))
+	done
+}
+
+entries_n=$((3 + seed % 4))
+workers_n=$((4 + seed * 7 % 9))
+jobs=${JOBS:-100}
+seconds=${SECONDS_OF_FAULTS:-$((jobs / 10))}
+
+take_ports 280 1 20
+draw_schedule "$entries_n" "$workers_n" "$seconds" >"$out/schedule"
+say "$entries_n entries, $workers_n workers, $jobs jobs"
+sed "s/^/$name: /" "$out/schedule"
+start_platform_store
+write_config 1 1000
+start_platform_workers "$workers_n"
+start_platform_entries "$entries_n"
+start_callers --jobs "$jobs" --every-ms 100
+play <"$out/schedule"
+check_platform
+all_live
+say "clean"
--- /dev/null
+++ b/platstand/fleet.c
@@ -0,0 +1,596 @@
+#include <sys/queue.h>
+
+#include <err.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base64.h"
+#include "body.h"
+#include "clock.h"
+#include "fleet.h"
+#include "httpc.h"
+#include "log.h"
+#include "machine.h"
+
+#define ID_SIZE 32
+#define URL_SIZE 128
+#define ZONE_SIZE 64
+#define BODY_MAX ((size_t)1024 * 1024)
+#define FINISHED_PAGE 500 /* ends in one answer */
+#define HOLD_MAX_MS 2000
+#define TICK_MS 5
+#define STORE_CALL_MS 1000
+/* An entry goes after so many heartbeats of silence. */
+#define HEARTBEATS 3
+#define TASKS_MAX 1000000
+
+struct worker;
+
+/* A look that waits for an end. */
+struct parked_hold {
+	LIST_ENTRY(parked_hold) link;
+	struct worker *worker;
+	struct httpd_request *request;
+	int64_t until_ms;
+};
+
+struct worker {
+	LIST_ENTRY(worker) link;
+	struct fleet_stand *fleet;
+	char id[ID_SIZE];
+	char zone[ZONE_SIZE];
+	int port;
+	struct machine *machine;
+	struct httpd *httpd;
+	uint64_t lease; /* of its entry; 0: it has none */
+	int64_t beat_ms; /* the store was last called */
+	bool calling;
+	int64_t cut_until_ms; /* calls are reset */
+};
+
+struct fleet_stand {
+	struct fleet_stand_options options;
+	struct witness *witness;
+	struct httpc *httpc;
+	uv_timer_t timer;
+	LIST_HEAD(, worker) workers;
+	LIST_HEAD(, parked_hold) holds;
+	uint64_t refused[MACHINE_BAD + 1]; /* orders by answer */
+};
+
+static void
+add_run(const struct machine_run *run, void *ctx)
+{
+	char saved[ID_SIZE];
+
+	saved[0] = '\0';
+	if (run->saved_ms > 0)
+		snprintf(
+		    saved, sizeof(saved), "%lld", (long long)run->saved_ms);
+	json_array_append_new(ctx,
+	    json_pack("[sIsiI]", run->task, (json_int_t)run->attempt, saved,
+		run->percent, (json_int_t)run->cpu_millis));
+}
+
+static void
+add_end(const struct machine_end *end, void *ctx)
+{
+	char saved[ID_SIZE];
+
+	saved[0] = '\0';
+	if (end->saved_ms > 0)
+		snprintf(
+		    saved, sizeof(saved), "%lld", (long long)end->saved_ms);
+	json_array_append_new(ctx,
+	    json_pack("[IsIss]", (json_int_t)end->number, end->task,
+		(json_int_t)end->attempt, end->how, saved));
+}
+
+static void
+reply_lists(const struct worker *worker, struct httpd_request *request)
+{
+	json_t *running, *finished;
+
+	running = json_array();
+	finished = json_array();
+	machine_each_run(worker->machine, add_run, running);
+	machine_each_end(worker->machine, FINISHED_PAGE, add_end, finished);
+	body_reply(request, 200,
+	    json_pack("{sI so so}", "clock_ms", (json_int_t)clock_now_ms(),
+		"running", running, "finished", finished));
+}
+
+static void
+reply_answer(struct worker *worker, struct httpd_request *request,
+    enum machine_answer answer)
+{
+	static const char *const reasons[] = { NULL, "fence", "old", "late",
+		"room", NULL };
+	json_t *body;
+
+	worker->fleet->refused[answer]++;
+	body = json_pack("{sI}", "clock_ms", (json_int_t)clock_now_ms());
+	if (reasons[answer] != NULL)
+		json_object_set_new(
+		    body, "reason", json_string(reasons[answer]));
+	body_reply(request,
+	    answer == MACHINE_OK      ? 200 :
+		answer == MACHINE_BAD ? 400 :
+					409,
+	    body);
+}
+
+static void
+run_start(
+    struct worker *worker, struct httpd_request *request, const json_t *body)
+{
+	struct machine_start_order order;
+	json_int_t attempt, deadline_ms, token;
+
+	memset(&order, 0, sizeof(order));
+	order.checkpoint = "";
+	token = 0;
+	if (json_unpack((json_t *)body, "{ss sI ss sI s?I s?s}", "task",
+		&order.task, "attempt", &attempt, "spec", &order.payload,
+		"deadline_ms", &deadline_ms, "fencing_token", &token,
+		"checkpoint", &order.checkpoint) == -1) {
+		reply_answer(worker, request, MACHINE_BAD);
+		return;
+	}
+	order.attempt = attempt;
+	order.deadline_ms = deadline_ms;
+	order.token = (uint64_t)token;
+	reply_answer(worker, request,
+	    machine_start(worker->machine, &order, clock_now_ms()));
+}
+
+static void
+run_stop(
+    struct worker *worker, struct httpd_request *request, const json_t *body)
+{
+	json_int_t attempt, token;
+	const char *task;
+
+	token = 0;
+	if (json_unpack((json_t *)body, "{ss sI s?I}", "task", &task, "attempt",
+		&attempt, "fencing_token", &token) == -1) {
+		reply_answer(worker, request, MACHINE_BAD);
+		return;
+	}
+	reply_answer(worker, request,
+	    machine_stop(worker->machine, task, attempt, (uint64_t)token,
+		clock_now_ms()));
+}
+
+static void
+pace(struct worker *worker, struct httpd_request *request, const json_t *body)
+{
+	json_int_t attempt, percent, token;
+	const char *task;
+
+	token = 0;
+	if (json_unpack((json_t *)body, "{ss sI sI s?I}", "task", &task,
+		"attempt", &attempt, "percent", &percent, "fencing_token",
+		&token) == -1 ||
+	    percent < 0 || percent > 100) {
+		reply_answer(worker, request, MACHINE_BAD);
+		return;
+	}
+	reply_answer(worker, request,
+	    machine_pace(worker->machine, task, attempt, (int)percent,
+		(uint64_t)token, clock_now_ms()));
+}
+
+static void
+hold_free(struct parked_hold *hold)
+{
+	LIST_REMOVE(hold, link);
+	free(hold);
+}
+
+static void
+on_hold_gone(struct httpd_request *request, void *ctx)
+{
+	(void)request;
+	hold_free(ctx);
+}
+
+static void
+park(struct worker *worker, struct httpd_request *request, int64_t wait_ms)
+{
+	struct parked_hold *hold;
+
+	if ((hold = calloc(1, sizeof(*hold))) == NULL)
+		err(1, "hold");
+	hold->worker = worker;
+	hold->request = request;
+	hold->until_ms = clock_now_ms() + wait_ms;
+	LIST_INSERT_HEAD(&worker->fleet->holds, hold, link);
+	httpd_on_gone(request, on_hold_gone, hold);
+}
+
+static void
+hold(struct worker *worker, struct httpd_request *request, const json_t *body)
+{
+	json_int_t acknowledged, deadline_ms, token, wait_ms;
+	struct machine_hold_order order;
+	enum machine_answer answer;
+
+	acknowledged = deadline_ms = token = wait_ms = 0;
+	if (json_unpack((json_t *)body, "{s?I s?I s?I s?I}", "last_seen",
+		&acknowledged, "deadline_ms", &deadline_ms, "fencing_token",
+		&token, "wait_ms", &wait_ms) == -1 ||
+	    wait_ms < 0 || wait_ms > HOLD_MAX_MS) {
+		reply_answer(worker, request, MACHINE_BAD);
+		return;
+	}
+	order.acknowledged = (uint64_t)acknowledged;
+	order.deadline_ms = deadline_ms;
+	order.token = (uint64_t)token;
+	answer = machine_hold(worker->machine, &order, clock_now_ms());
+	if (answer != MACHINE_OK)
+		reply_answer(worker, request, answer);
+	else if (wait_ms > 0 && machine_last_end(worker->machine) == 0)
+		park(worker, request, wait_ms);
+	else
+		reply_lists(worker, request);
+}
+
+static void
+reply_stats(struct fleet_stand *fleet, struct httpd_request *request)
+{
+	struct witness_totals totals;
+
+	witness_count(fleet->witness, &totals);
+	body_reply(request, 200,
+	    json_pack("{sI sI sI sI sI sI sI sI}", "starts",
+		(json_int_t)totals.starts, "tasks", (json_int_t)totals.tasks,
+		"done", (json_int_t)totals.done, "two_places",
+		(json_int_t)totals.two_places, "done_again",
+		(json_int_t)totals.done_again, "no_room",
+		(json_int_t)fleet->refused[MACHINE_NO_ROOM], "fenced",
+		(json_int_t)fleet->refused[MACHINE_FENCED], "bad",
+		(json_int_t)fleet->refused[MACHINE_BAD]));
+}
+
+static void
+serve(struct worker *worker, struct httpd_request *request, const char *path)
+{
+	json_t *body;
+
+	body = body_read(request);
+	if (strcmp(path, "/run-start") == 0)
+		run_start(worker, request, body);
+	else if (strcmp(path, "/run-stop") == 0)
+		run_stop(worker, request, body);
+	else if (strcmp(path, "/pace") == 0)
+		pace(worker, request, body);
+	else if (strcmp(path, "/hold") == 0)
+		hold(worker, request, body);
+	else
+		body_reply(request, 404, json_object());
+	json_decref(body);
+}
+
+static void
+set_fault(struct worker *worker, struct httpd_request *request)
+{
+	json_int_t cut_ms;
+	json_t *body;
+
+	body = body_read(request);
+	if (json_unpack(body, "{sI}", "cut_ms", &cut_ms) == -1)
+		body_reply(request, 400, json_object());
+	else {
+		worker->cut_until_ms = clock_now_ms() + cut_ms;
+		body_reply(request, 200, json_object());
+	}
+	json_decref(body);
+}
+
+/* true: it was a test's own call. */
+static bool
+serve_test(struct worker *worker, struct httpd_request *request)
+{
+	const char *path;
+
+	path = httpd_path(request);
+	if (strcmp(path, "/stats") == 0)
+		reply_stats(worker->fleet, request);
+	else if (strcmp(path, "/fault") == 0)
+		set_fault(worker, request);
+	else
+		return false;
+	return true;
+}
+
+static void
+on_request(struct httpd_request *request, void *ctx)
+{
+	struct worker *worker;
+	const char *expected;
+
+	worker = ctx;
+	if (serve_test(worker, request))
+		return;
+	if (clock_now_ms() < worker->cut_until_ms) {
+		httpd_begin(request, 200, NULL, 0);
+		httpd_abort(request);
+		return;
+	}
+	expected = httpd_request_header(request, "x-expected-instance");
+	if (expected != NULL && strcmp(expected, worker->id) != 0)
+		body_reply(request, 421, json_object());
+	else
+		serve(worker, request, httpd_path(request));
+}
+
+/* Entries in the store. */
+
+static void
+call_store(
+    struct worker *worker, const char *path, json_t *body, httpc_done *done)
+{
+	static const struct httpc_header headers[] = {
+		{ "Content-Type", "application/json" },
+		{ "X-Platform-Writer", "1" },
+	};
+	const struct fleet_stand_options *o;
+	struct httpc_request http;
+	char url[URL_SIZE], *text;
+
+	o = &worker->fleet->options;
+	snprintf(url, sizeof(url), "http://%s:%d%s", o->store.ip, o->store.port,
+	    path);
+	text = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	memset(&http, 0, sizeof(http));
+	http.method = "POST";
+	http.url = url;
+	http.headers = headers;
+	http.nheaders = 2;
+	http.body = text;
+	http.body_len = text != NULL ? strlen(text) : 0;
+	http.connect_timeout_ms = STORE_CALL_MS;
+	http.timeout_ms = STORE_CALL_MS;
+	http.on_done = done;
+	http.ctx = worker;
+	worker->calling = true;
+	worker->beat_ms = clock_now_ms();
+	if (text == NULL || httpc_start(worker->fleet->httpc, &http) == NULL)
+		errx(1, "store call");
+	free(text);
+}
+
+static void
+on_entered(const struct httpc_result *result, void *ctx)
+{
+	struct worker *worker;
+
+	worker = ctx;
+	worker->calling = false;
+	if (result->error != HTTPC_OK || result->status != 200)
+		worker->lease = 0;
+}
+
+static void
+enter(struct worker *worker)
+{
+	const struct fleet_stand_options *o;
+	char address[ID_SIZE], key[ID_SIZE + 16], *text, *value;
+	json_t *entry;
+
+	o = &worker->fleet->options;
+	snprintf(address, sizeof(address), "%s:%d", o->ip, worker->port);
+	snprintf(key, sizeof(key), "servers/%s", worker->id);
+	entry = json_pack("{ss ss ss ss ss si s{sI sI}}", "service", o->service,
+	    "address", address, "zone", worker->zone, "version", "1", "state",
+	    "ready", "sequence", 1, "capacity", "cpu",
+	    (json_int_t)o->cpu_millis, "mem_mb", (json_int_t)o->memory_mib);
+	text = json_dumps(entry, JSON_COMPACT);
+	json_decref(entry);
+	value = text != NULL ? base64_encode(text, strlen(text)) : NULL;
+	if (value == NULL)
+		errx(1, "entry");
+	call_store(worker, "/kv-txn",
+	    json_pack("{s[] s[{ss ss sI}] s[]}", "precondition", "writes",
+		"key", key, "value", value, "lease", (json_int_t)worker->lease,
+		"remove"),
+	    on_entered);
+	free(text);
+	free(value);
+}
+
+static void
+on_leased(const struct httpc_result *result, void *ctx)
+{
+	struct worker *worker;
+	json_int_t lease;
+	json_t *body;
+
+	worker = ctx;
+	worker->calling = false;
+	if (result->error != HTTPC_OK || result->status != 200)
+		return;
+	body = json_loadb(result->body, result->body_len, 0, NULL);
+	if (json_unpack(body, "{sI}", "lease", &lease) == 0) {
+		worker->lease = (uint64_t)lease;
+		enter(worker);
+	}
+	json_decref(body);
+}
+
+static void
+on_renewed(const struct httpc_result *result, void *ctx)
+{
+	struct worker *worker;
+
+	worker = ctx;
+	worker->calling = false;
+	if (result->error == HTTPC_OK && result->status == 404)
+		worker->lease = 0;
+}
+
+static void
+beat(struct worker *worker, int64_t now_ms)
+{
+	const struct fleet_stand_options *o;
+	char path[ID_SIZE + 16];
+
+	o = &worker->fleet->options;
+	if (worker->calling || now_ms - worker->beat_ms < o->heartbeat_ms)
+		return;
+	if (worker->lease == 0) {
+		call_store(worker, "/kv-lease",
+		    json_pack("{sI}", "ttl_ms",
+			(json_int_t)(HEARTBEATS * o->heartbeat_ms)),
+		    on_leased);
+		return;
+	}
+	snprintf(path, sizeof(path), "/kv-keep/%llu",
+	    (unsigned long long)worker->lease);
+	call_store(worker, path, json_object(), on_renewed);
+}
+
+static void
+wake_holds(struct fleet_stand *fleet, int64_t now_ms)
+{
+	struct parked_hold *parked, *next;
+
+	LIST_FOREACH_SAFE(parked, &fleet->holds, link, next)
+	{
+		if (now_ms < parked->until_ms &&
+		    machine_last_end(parked->worker->machine) == 0)
+			continue;
+		reply_lists(parked->worker, parked->request);
+		hold_free(parked);
+	}
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	struct fleet_stand *fleet;
+	struct worker *worker;
+	int64_t now_ms;
+
+	fleet = timer->data;
+	now_ms = clock_now_ms();
+	LIST_FOREACH (worker, &fleet->workers, link) {
+		machine_step(worker->machine, now_ms);
+		beat(worker, now_ms);
+	}
+	wake_holds(fleet, now_ms);
+}
+
+/* The n-th name of a list, in turn. */
+static void
+pick_zone(const char *zones, int n, char *buf, size_t size)
+{
+	const char *at;
+	size_t len;
+
+	at = zones;
+	while (n-- > 0)
+		at = strchr(at, ',') != NULL ? strchr(at, ',') + 1 : zones;
+	len = strcspn(at, ",");
+	snprintf(buf, size, "%.*s", (int)len, at);
+}
+
+static void
+add_worker(struct fleet_stand *fleet, int n)
+{
+	const struct fleet_stand_options *o;
+	struct machine_options machine;
+	struct httpd_options http;
+	enum httpd_error error;
+	struct worker *worker;
+
+	o = &fleet->options;
+	if ((worker = calloc(1, sizeof(*worker))) == NULL)
+		err(1, "worker");
+	worker->fleet = fleet;
+	worker->port = o->port_base + n;
+	snprintf(worker->id, sizeof(worker->id), "worker-%d", n + 1);
+	pick_zone(o->zones, n, worker->zone, sizeof(worker->zone));
+	memset(&machine, 0, sizeof(machine));
+	machine.id = worker->id;
+	machine.cpu_millis = o->cpu_millis;
+	machine.memory_mib = o->memory_mib;
+	machine.lease_max_ms = o->lease_max_ms;
+	machine.stop_ms = o->stop_ms;
+	machine.witness = fleet->witness;
+	worker->machine = machine_open(&machine);
+	memset(&http, 0, sizeof(http));
+	http.loop = o->loop;
+	http.ip = o->ip;
+	http.port = worker->port;
+	http.body_max = BODY_MAX;
+	http.handler = on_request;
+	http.ctx = worker;
+	if ((worker->httpd = httpd_open(&http, &error)) == NULL)
+		errx(1, "%s:%d: %s", http.ip, http.port, httpd_strerror(error));
+	LIST_INSERT_HEAD(&fleet->workers, worker, link);
+}
+
+struct fleet_stand *
+fleet_stand_open(const struct fleet_stand_options *options)
+{
+	struct witness_options witness;
+	struct httpc_options http;
+	struct fleet_stand *fleet;
+	int i;
+
+	if ((fleet = calloc(1, sizeof(*fleet))) == NULL)
+		err(1, "fleet");
+	fleet->options = *options;
+	LIST_INIT(&fleet->workers);
+	LIST_INIT(&fleet->holds);
+	memset(&witness, 0, sizeof(witness));
+	witness.tasks_max = TASKS_MAX;
+	memset(&http, 0, sizeof(http));
+	http.loop = options->loop;
+	if ((fleet->witness = witness_open(&witness)) == NULL ||
+	    (fleet->httpc = httpc_open(&http)) == NULL)
+		err(1, "fleet");
+	for (i = 0; i < options->count; i++)
+		add_worker(fleet, i);
+	uv_timer_init(options->loop, &fleet->timer);
+	fleet->timer.data = fleet;
+	uv_timer_start(&fleet->timer, on_tick, 0, TICK_MS);
+	log_info("workers", "count=%d port_base=%d", options->count,
+	    options->port_base);
+	return fleet;
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+	struct fleet_stand *fleet;
+	struct worker *worker;
+
+	fleet = handle->data;
+	while ((worker = LIST_FIRST(&fleet->workers)) != NULL) {
+		LIST_REMOVE(worker, link);
+		machine_close(worker->machine);
+		free(worker);
+	}
+	witness_close(fleet->witness);
+	free(fleet);
+}
+
+void
+fleet_stand_close(struct fleet_stand *fleet)
+{
+	struct worker *worker;
+
+	while (!LIST_EMPTY(&fleet->holds)) {
+		httpd_on_gone(LIST_FIRST(&fleet->holds)->request, NULL, NULL);
+		hold_free(LIST_FIRST(&fleet->holds));
+	}
+	httpc_close(fleet->httpc);
+	LIST_FOREACH (worker, &fleet->workers, link)
+		httpd_close(worker->httpd);
+	uv_close((uv_handle_t *)&fleet->timer, on_closed);
+}
--- /dev/null
+++ b/platstand/main.c
@@ -0,0 +1,218 @@
+#include <err.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <uv.h>
+
+#include "caller.h"
+#include "fleet.h"
+#include "httpd.h"
+#include "log.h"
+#include "settings.h"
+#include "store.h"
+
+/* The users' platform on one machine: its store, its workers, its callers. */
+
+#define PROGRAM "platstand"
+
+enum role { ROLE_STORE, ROLE_WORKERS, ROLE_CALLERS };
+
+struct program {
+	uv_loop_t *loop;
+	uv_signal_t sigterm;
+	struct store_stand *store;
+	struct fleet_stand *fleet;
+	struct caller_stand *callers;
+	int status; /* of the program's end */
+};
+
+static void
+close_all(struct program *p)
+{
+	if (p->store != NULL)
+		store_stand_close(p->store);
+	if (p->fleet != NULL)
+		fleet_stand_close(p->fleet);
+	if (p->callers != NULL)
+		caller_stand_close(p->callers);
+	uv_close((uv_handle_t *)&p->sigterm, NULL);
+}
+
+static void
+on_sigterm(uv_signal_t *handle, int signum)
+{
+	(void)signum;
+	close_all(handle->data);
+}
+
+static void
+parse(const char *doc, struct setting *table, size_t n, int argc, char **argv)
+{
+	struct settings_options options;
+	struct settings_args args;
+
+	memset(&options, 0, sizeof(options));
+	options.program = PROGRAM;
+	options.doc = doc;
+	options.table = table;
+	options.n = n;
+	settings_parse(&options, argc, argv, &args);
+}
+
+#define COUNT(table) (sizeof(table) / sizeof((table)[0]))
+
+static void
+open_store(struct program *p, int argc, char **argv)
+{
+	static struct setting_address address;
+	static int64_t writes, reads, seed;
+	struct setting table[] = {
+		{ "listen", NULL, "address to listen on", NULL, SETTING_IP_PORT,
+		    &address, 0, 0, "127.0.0.1:0", NULL, NULL },
+		{ "writes-per-s", NULL, "writes taken a second", NULL,
+		    SETTING_INTEGER, &writes, 1, 1000000, "400", NULL, NULL },
+		{ "reads-per-s", NULL, "reads taken a second", NULL,
+		    SETTING_INTEGER, &reads, 1, 1000000, "2000", NULL, NULL },
+		{ "seed", NULL, "of the answers that are lost", NULL,
+		    SETTING_INTEGER, &seed, 0, INT32_MAX, "1", NULL, NULL },
+	};
+	struct store_stand_options options;
+
+	parse("Play the platform's store.", table, COUNT(table), argc, argv);
+	options.loop = p->loop;
+	options.ip = address.ip;
+	options.port = address.port;
+	options.writes_per_s = (double)writes;
+	options.reads_per_s = (double)reads;
+	options.seed = (unsigned long)seed;
+	p->store = store_stand_open(&options);
+	log_info("listening", "ip=%s port=%d", address.ip,
+	    store_stand_port(p->store));
+}
+
+static void
+open_fleet(struct program *p, int argc, char **argv)
+{
+	static struct fleet_stand_options o;
+	static int64_t port_base, count;
+	struct setting table[] = {
+		{ "store", NULL, "address of the store", NULL, SETTING_IP_PORT,
+		    &o.store, 1, 0, NULL, NULL, NULL },
+		{ "port-base", NULL, "port of the first worker", NULL,
+		    SETTING_INTEGER, &port_base, 1, 65535, NULL, NULL, NULL },
+		{ "count", NULL, "workers", NULL, SETTING_INTEGER, &count, 1,
+		    1000, "4", NULL, NULL },
+		{ "service", NULL, "that they belong to", NULL, SETTING_STRING,
+		    &o.service, 1, 60, "custodio", NULL, NULL },
+		{ "zones", NULL, "data centres, apart by commas", NULL,
+		    SETTING_STRING, &o.zones, 1, 200, "sala-norte", NULL,
+		    NULL },
+		{ "cpu-millis", NULL, "processors of each, in thousandths",
+		    NULL, SETTING_INTEGER, &o.cpu_millis, 1, INT32_MAX, "8000",
+		    NULL, NULL },
+		{ "memory-mib", NULL, "memory of each", "MiB", SETTING_INTEGER,
+		    &o.memory_mib, 1, INT32_MAX, "16384", NULL, NULL },
+		{ "lease-max-ms", NULL, "longest lease of what runs", "ms",
+		    SETTING_INTEGER, &o.lease_max_ms, 100, 3600000, "6000",
+		    NULL, NULL },
+		{ "stop-ms", NULL, "time that a stop takes", "ms",
+		    SETTING_INTEGER, &o.stop_ms, 0, 60000, "200", NULL, NULL },
+		{ "heartbeat-ms", NULL, "time between two calls of the store",
+		    "ms", SETTING_INTEGER, &o.heartbeat_ms, 50, 60000, "1000",
+		    NULL, NULL },
+	};
+
+	parse("Play the platform's workers.", table, COUNT(table), argc, argv);
+	o.loop = p->loop;
+	o.ip = "127.0.0.1";
+	o.port_base = (int)port_base;
+	o.count = (int)count;
+	p->fleet = fleet_stand_open(&o);
+}
+
+static void
+on_callers_ended(const struct caller_totals *t, void *ctx)
+{
+	struct program *p;
+
+	p = ctx;
+	printf("{\"jobs\":%d,\"accepted\":%d,\"completed\":%d,\"cancelled\":%d,"
+	       "\"wrong\":%d,\"tasks\":%d,\"repeats\":%d}\n",
+	    t->jobs, t->accepted, t->completed, t->cancelled, t->wrong,
+	    t->tasks, t->repeats);
+	if (t->completed + t->cancelled != t->jobs)
+		p->status = 1;
+	close_all(p);
+}
+
+static void
+open_callers(struct program *p, int argc, char **argv)
+{
+	static struct caller_stand_options o;
+	static int64_t jobs, seed;
+	struct setting table[] = {
+		{ "entries", NULL, "addresses of the entries", NULL,
+		    SETTING_IP_PORTS, &o.entries, 1, 0, NULL, NULL, NULL },
+		{ "host", NULL, "of the queue", NULL, SETTING_STRING, &o.host,
+		    1, 60, "jobs.example", NULL, NULL },
+		{ "prefix", NULL, "of the queue's paths", NULL, SETTING_STRING,
+		    &o.prefix, 1, 60, "/q/", NULL, NULL },
+		{ "jobs", NULL, "jobs handed in", NULL, SETTING_INTEGER, &jobs,
+		    1, 100000, "50", NULL, NULL },
+		{ "every-ms", NULL, "time between two jobs", "ms",
+		    SETTING_INTEGER, &o.every_ms, 0, 60000, "100", NULL, NULL },
+		{ "limit-ms", NULL, "all have ended by then", "ms",
+		    SETTING_INTEGER, &o.limit_ms, 1, 3600000, "60000", NULL,
+		    NULL },
+		{ "seed", NULL, "of the jobs", NULL, SETTING_INTEGER, &seed, 0,
+		    INT32_MAX, "1", NULL, NULL },
+	};
+
+	parse("Play callers of jobs.", table, COUNT(table), argc, argv);
+	o.loop = p->loop;
+	o.jobs = (int)jobs;
+	o.seed = (unsigned long)seed;
+	o.on_ended = on_callers_ended;
+	o.ctx = p;
+	p->callers = caller_stand_open(&o);
+}
+
+static int
+role_of(const char *name)
+{
+	static const char *const names[] = { "store", "workers", "callers" };
+	size_t i;
+
+	for (i = 0; i < COUNT(names); i++) {
+		if (strcmp(name, names[i]) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct program p;
+
+	if (argc < 2 || role_of(argv[1]) == -1)
+		errx(2, "usage: " PROGRAM " store|workers|callers [--help]");
+	p.loop = uv_default_loop();
+	uv_signal_init(p.loop, &p.sigterm);
+	p.sigterm.data = &p;
+	uv_signal_start(&p.sigterm, on_sigterm, SIGTERM);
+	switch ((enum role)role_of(argv[1])) {
+	case ROLE_STORE:
+		open_store(&p, argc - 1, argv + 1);
+		break;
+	case ROLE_WORKERS:
+		open_fleet(&p, argc - 1, argv + 1);
+		break;
+	case ROLE_CALLERS:
+		open_callers(&p, argc - 1, argv + 1);
+		break;
+	}
+	uv_run(p.loop, UV_RUN_DEFAULT);
+	return p.status;
+}
--- /dev/null
+++ b/platstand/store.c
@@ -0,0 +1,643 @@
+#include <sys/queue.h>
+
+#include <err.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <gsl/gsl_rng.h>
+
+#include "body.h"
+#include "clock.h"
+#include "itemset.h"
+#include "pacer.h"
+#include "store.h"
+
+#define KEY_SIZE 256
+#define RANGE_MAX 500 /* items of a page */
+#define TXN_MAX 32 /* entries of a transaction */
+#define BODY_MAX ((size_t)8 * 1024 * 1024)
+#define WATCH_MAX_MS 30000
+/* Leases and waiting watches are looked at so often. */
+#define TICK_MS 10
+/* Calls beyond the rate are refused once so much time's worth is used up. */
+#define RATE_BURST_MS 1000
+/* What the platform itself writes: its operators and workers say who they are.
+ */
+#define WRITER_HEADER "x-platform-writer"
+
+enum store_fault {
+	STORE_SOUND,
+	STORE_DOWN, /* connections are reset */
+	STORE_BUSY, /* 503: nothing was done */
+	STORE_LOSES /* a share of the transactions is done and not answered */
+};
+
+struct parked_watch {
+	LIST_ENTRY(parked_watch) link;
+	struct store_stand *stand;
+	struct httpd_request *request;
+	char prefix[KEY_SIZE];
+	int64_t after;
+	int64_t until_ms;
+};
+
+struct store_stand {
+	struct httpd *httpd;
+	struct itemset *items;
+	LIST_HEAD(, parked_watch) watches;
+	uv_timer_t timer;
+	struct pacer writes;
+	struct pacer reads;
+	gsl_rng *rng;
+	enum store_fault fault;
+	double lost_share;
+	uint64_t nwrites;
+	uint64_t nreads;
+	uint64_t nrefused;
+};
+
+static json_t *
+item_json(const struct item *item)
+{
+	return json_pack("{ss ss sI sI sI}", "key", item->key, "value",
+	    item->value, "revision", (json_int_t)item->revision, "created",
+	    (json_int_t)item->created, "lease", (json_int_t)item->lease);
+}
+
+static json_t *
+change_json(const struct item_change *change)
+{
+	if (change->value == NULL)
+		return json_pack("{ss sI sb}", "key", change->key, "revision",
+		    (json_int_t)change->revision, "tombstone", 1);
+	return json_pack("{ss ss sI sI sI}", "key", change->key, "value",
+	    change->value, "revision", (json_int_t)change->revision, "created",
+	    (json_int_t)change->created, "lease", (json_int_t)change->lease);
+}
+
+static void
+reply_error(struct httpd_request *request, int status, const char *error)
+{
+	body_reply(request, status, json_pack("{ss}", "error", error));
+}
+
+static void
+get_key(struct store_stand *stand, struct httpd_request *request)
+{
+	const struct item *item;
+	char key[KEY_SIZE];
+	json_t *answer;
+
+	if (!query_text(request, "key", key, sizeof(key))) {
+		reply_error(request, 400, "key");
+		return;
+	}
+	if ((item = itemset_get(stand->items, key)) == NULL) {
+		reply_error(request, 404, "no_such_key");
+		return;
+	}
+	answer = item_json(item);
+	json_object_set_new(answer, "current_rev",
+	    json_integer(itemset_revision(stand->items)));
+	body_reply(request, 200, answer);
+}
+
+static void
+get_range(struct store_stand *stand, struct httpd_request *request)
+{
+	char prefix[KEY_SIZE], after[KEY_SIZE];
+	const struct item *item;
+	json_t *list;
+
+	if (!query_text(request, "prefix", prefix, sizeof(prefix))) {
+		reply_error(request, 400, "prefix");
+		return;
+	}
+	list = json_array();
+	item = itemset_next(stand->items, prefix,
+	    query_text(request, "after", after, sizeof(after)) ? after : NULL);
+	while (item != NULL && json_array_size(list) < RANGE_MAX) {
+		json_array_append_new(list, item_json(item));
+		item = itemset_next(stand->items, prefix, item->key);
+	}
+	body_reply(request, 200,
+	    json_pack("{so sb sI}", "items", list, "has_more", item != NULL,
+		"current_rev", (json_int_t)itemset_revision(stand->items)));
+}
+
+/* Changes of keys with the prefix; NULL: they aren't kept any more. */
+static json_t *
+changes_after(struct store_stand *stand, const char *prefix, int64_t after)
+{
+	const struct item_change *change;
+	enum itemset_error error;
+	json_t *list;
+
+	change = itemset_changes(stand->items, after, &error);
+	if (error != ITEMSET_OK)
+		return NULL;
+	list = json_array();
+	for (; change != NULL; change = itemset_changes_next(change)) {
+		if (strncmp(change->key, prefix, strlen(prefix)) == 0)
+			json_array_append_new(list, change_json(change));
+	}
+	return list;
+}
+
+/* false: there is nothing to tell yet. */
+static bool
+answer_watch(struct store_stand *stand, struct httpd_request *request,
+    const char *prefix, int64_t after, bool time_is_up)
+{
+	json_t *list;
+
+	if ((list = changes_after(stand, prefix, after)) == NULL) {
+		reply_error(request, 410, "history");
+		return true;
+	}
+	if (json_array_size(list) == 0 && !time_is_up) {
+		json_decref(list);
+		return false;
+	}
+	body_reply(request, 200,
+	    json_pack("{so sI}", "events", list, "current_rev",
+		(json_int_t)itemset_revision(stand->items)));
+	return true;
+}
+
+static void
+watch_free(struct parked_watch *watch)
+{
+	LIST_REMOVE(watch, link);
+	free(watch);
+}
+
+static void
+on_watch_gone(struct httpd_request *request, void *ctx)
+{
+	(void)request;
+	watch_free(ctx);
+}
+
+static void
+get_watch(struct store_stand *stand, struct httpd_request *request)
+{
+	struct parked_watch *watch;
+	int64_t wait_ms;
+
+	if ((watch = calloc(1, sizeof(*watch))) == NULL)
+		err(1, "watch");
+	if (!query_text(
+		request, "prefix", watch->prefix, sizeof(watch->prefix))) {
+		free(watch);
+		reply_error(request, 400, "prefix");
+		return;
+	}
+	watch->after = query_number(request, "after");
+	wait_ms = query_number(request, "wait_ms");
+	if (answer_watch(stand, request, watch->prefix, watch->after, false)) {
+		free(watch);
+		return;
+	}
+	watch->stand = stand;
+	watch->request = request;
+	watch->until_ms =
+	    clock_now_ms() + (wait_ms < WATCH_MAX_MS ? wait_ms : WATCH_MAX_MS);
+	LIST_INSERT_HEAD(&stand->watches, watch, link);
+	httpd_on_gone(request, on_watch_gone, watch);
+}
+
+static void
+wake_watches(struct store_stand *stand)
+{
+	struct parked_watch *watch, *next;
+	int64_t now_ms;
+
+	now_ms = clock_now_ms();
+	LIST_FOREACH_SAFE(watch, &stand->watches, link, next)
+	{
+		if (answer_watch(stand, watch->request, watch->prefix,
+			watch->after, now_ms >= watch->until_ms))
+			watch_free(watch);
+	}
+}
+
+/* A transaction as it came; its rows point into the body. */
+struct txn_rows {
+	struct itemset_compare compares[TXN_MAX];
+	struct itemset_put puts[TXN_MAX];
+	const char *removes[TXN_MAX];
+	struct itemset_txn txn;
+};
+
+static bool
+read_compares(const json_t *list, struct txn_rows *rows)
+{
+	struct itemset_compare *compare;
+	const json_t *row;
+	json_int_t revision;
+	size_t i;
+
+	json_array_foreach(list, i, row)
+	{
+		compare = &rows->compares[i];
+		if (json_unpack((json_t *)row, "{ss sI}", "key", &compare->key,
+			"revision", &revision) == -1)
+			return false;
+		compare->revision = revision;
+		rows->txn.ncompares++;
+	}
+	rows->txn.compares = rows->compares;
+	return true;
+}
+
+static bool
+read_puts(const json_t *list, struct txn_rows *rows)
+{
+	struct itemset_put *put;
+	const json_t *row;
+	json_int_t lease;
+	size_t i;
+
+	json_array_foreach(list, i, row)
+	{
+		put = &rows->puts[i];
+		lease = 0;
+		if (json_unpack((json_t *)row, "{ss ss s?I}", "key", &put->key,
+			"value", &put->value, "lease", &lease) == -1)
+			return false;
+		put->lease = (uint64_t)lease;
+		rows->txn.nputs++;
+	}
+	rows->txn.puts = rows->puts;
+	return true;
+}
+
+static bool
+read_removes(const json_t *list, struct txn_rows *rows)
+{
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(list, i, row)
+	{
+		if ((rows->removes[i] = json_string_value(row)) == NULL)
+			return false;
+		rows->txn.nremoves++;
+	}
+	rows->txn.removes = rows->removes;
+	return true;
+}
+
+static bool
+read_txn(const json_t *body, struct txn_rows *rows)
+{
+	const json_t *compares, *puts, *removes;
+
+	memset(rows, 0, sizeof(*rows));
+	compares = json_object_get(body, "precondition");
+	puts = json_object_get(body, "writes");
+	removes = json_object_get(body, "remove");
+	return json_array_size(compares) <= TXN_MAX &&
+	    json_array_size(puts) <= TXN_MAX &&
+	    json_array_size(removes) <= TXN_MAX &&
+	    read_compares(compares, rows) && read_puts(puts, rows) &&
+	    read_removes(removes, rows);
+}
+
+static bool
+is_platforms(const char *key)
+{
+	return strncmp(key, "op/", 3) == 0 || strncmp(key, "servers/", 8) == 0;
+}
+
+static bool
+may_write(struct httpd_request *request, const struct itemset_txn *txn)
+{
+	size_t i;
+
+	if (httpd_request_header(request, WRITER_HEADER) != NULL)
+		return true;
+	for (i = 0; i < txn->nputs; i++) {
+		if (is_platforms(txn->puts[i].key))
+			return false;
+	}
+	for (i = 0; i < txn->nremoves; i++) {
+		if (is_platforms(txn->removes[i]))
+			return false;
+	}
+	return true;
+}
+
+static void
+reply_conflict(struct store_stand *stand, struct httpd_request *request,
+    const struct itemset_txn *txn)
+{
+	const struct item *item;
+	json_t *list;
+	size_t i;
+
+	list = json_array();
+	for (i = 0; i < txn->ncompares; i++) {
+		item = itemset_get(stand->items, txn->compares[i].key);
+		json_array_append_new(list,
+		    item != NULL ? item_json(item) :
+				   json_pack("{ss si}", "key",
+				       txn->compares[i].key, "revision", 0));
+	}
+	body_reply(request, 412,
+	    json_pack("{so sI}", "items", list, "current_rev",
+		(json_int_t)itemset_revision(stand->items)));
+}
+
+static void
+reply_applied(struct store_stand *stand, struct httpd_request *request)
+{
+	if (stand->fault == STORE_LOSES &&
+	    gsl_rng_uniform(stand->rng) < stand->lost_share) {
+		httpd_begin(request, 200, NULL, 0);
+		httpd_abort(request);
+		return;
+	}
+	body_reply(request, 200,
+	    json_pack("{sI}", "revision",
+		(json_int_t)itemset_revision(stand->items)));
+}
+
+static void
+post_txn(struct store_stand *stand, struct httpd_request *request)
+{
+	struct txn_rows rows;
+	json_t *body;
+
+	body = body_read(request);
+	if (!read_txn(body, &rows)) {
+		reply_error(request, 400, "entries");
+		goto out;
+	}
+	if (!may_write(request, &rows.txn)) {
+		reply_error(request, 403, "key");
+		goto out;
+	}
+	switch (itemset_apply(stand->items, &rows.txn)) {
+	case ITEMSET_OK:
+		reply_applied(stand, request);
+		wake_watches(stand);
+		break;
+	case ITEMSET_ERR_LEASE:
+		reply_error(request, 404, "lease");
+		break;
+	default:
+		reply_conflict(stand, request, &rows.txn);
+		break;
+	}
+out:
+	json_decref(body);
+}
+
+static void
+post_lease(struct store_stand *stand, struct httpd_request *request)
+{
+	json_int_t ttl_ms;
+	uint64_t lease;
+	json_t *body;
+
+	body = body_read(request);
+	if (json_unpack(body, "{sI}", "ttl_ms", &ttl_ms) == -1 || ttl_ms <= 0)
+		reply_error(request, 400, "ttl_ms");
+	else {
+		lease = itemset_lease(stand->items, ttl_ms, clock_now_ms());
+		body_reply(request, 200,
+		    json_pack("{sI sI}", "lease", (json_int_t)lease, "ttl_ms",
+			ttl_ms));
+	}
+	json_decref(body);
+}
+
+/* The number at the end of the path. */
+static uint64_t
+lease_of(struct httpd_request *request, const char *path)
+{
+	return strtoull(httpd_path(request) + strlen(path), NULL, 10);
+}
+
+static void
+reply_lease(struct httpd_request *request, enum itemset_error error)
+{
+	if (error == ITEMSET_OK)
+		body_reply(request, 200, json_object());
+	else
+		reply_error(request, 404, "lease");
+}
+
+static bool
+is_call(struct httpd_request *request, const char *method, const char *path)
+{
+	return strcmp(httpd_method(request), method) == 0 &&
+	    strncmp(httpd_path(request), path, strlen(path)) == 0;
+}
+
+#define KEEP_PATH "/kv-keep/"
+#define END_PATH "/kv-lease-end/"
+
+static void
+serve(struct store_stand *stand, struct httpd_request *request)
+{
+	if (is_call(request, "GET", "/kv-key"))
+		get_key(stand, request);
+	else if (is_call(request, "GET", "/kv-range"))
+		get_range(stand, request);
+	else if (is_call(request, "GET", "/kv-watch"))
+		get_watch(stand, request);
+	else if (is_call(request, "POST", "/kv-txn"))
+		post_txn(stand, request);
+	else if (is_call(request, "POST", "/kv-lease"))
+		post_lease(stand, request);
+	else if (is_call(request, "POST", KEEP_PATH))
+		reply_lease(request,
+		    itemset_renew(stand->items, lease_of(request, KEEP_PATH),
+			clock_now_ms()));
+	else if (is_call(request, "DELETE", END_PATH)) {
+		reply_lease(request,
+		    itemset_end_lease(
+			stand->items, lease_of(request, END_PATH)));
+		wake_watches(stand);
+	} else
+		reply_error(request, 404, "unknown_call");
+}
+
+/* true: the call is beyond the rate.  A renewal counts as a tenth of a read. */
+static bool
+is_beyond(struct store_stand *stand, struct httpd_request *request)
+{
+	struct pacer *rate;
+	double price;
+	int64_t now_ms;
+
+	now_ms = clock_now_ms();
+	price = is_call(request, "POST", KEEP_PATH) ? 0.1 : 1;
+	rate = &stand->reads;
+	if (price == 1 && strcmp(httpd_method(request), "GET") != 0)
+		rate = &stand->writes;
+	if (pacer_left(rate, now_ms) < price)
+		return true;
+	pacer_spend(rate, price, now_ms);
+	if (rate == &stand->writes)
+		stand->nwrites++;
+	else
+		stand->nreads++;
+	return false;
+}
+
+static enum store_fault
+fault_named(const char *name)
+{
+	if (strcmp(name, "down") == 0)
+		return STORE_DOWN;
+	if (strcmp(name, "busy") == 0)
+		return STORE_BUSY;
+	if (strcmp(name, "loses") == 0)
+		return STORE_LOSES;
+	return STORE_SOUND;
+}
+
+/* A waiting watch is cut when the store goes down. */
+static void
+cut_watches(struct store_stand *stand)
+{
+	struct parked_watch *watch;
+
+	while ((watch = LIST_FIRST(&stand->watches)) != NULL) {
+		httpd_on_gone(watch->request, NULL, NULL);
+		httpd_begin(watch->request, 200, NULL, 0);
+		httpd_abort(watch->request);
+		watch_free(watch);
+	}
+}
+
+static void
+set_fault(struct store_stand *stand, struct httpd_request *request)
+{
+	const char *mode;
+	json_t *body;
+
+	body = body_read(request);
+	stand->lost_share = 1;
+	if (json_unpack(body, "{ss s?F}", "mode", &mode, "share",
+		&stand->lost_share) == -1)
+		reply_error(request, 400, "mode");
+	else {
+		stand->fault = fault_named(mode);
+		if (strcmp(mode, "forget") == 0)
+			itemset_forget(stand->items);
+		if (stand->fault == STORE_DOWN)
+			cut_watches(stand);
+		body_reply(request, 200, json_object());
+	}
+	json_decref(body);
+}
+
+/* true: it was a test's own call. */
+static bool
+serve_test(struct store_stand *stand, struct httpd_request *request)
+{
+	if (is_call(request, "POST", "/fault")) {
+		set_fault(stand, request);
+		return true;
+	}
+	if (!is_call(request, "GET", "/stats"))
+		return false;
+	body_reply(request, 200,
+	    json_pack("{sI sI sI sI}", "writes", (json_int_t)stand->nwrites,
+		"reads", (json_int_t)stand->nreads, "refused",
+		(json_int_t)stand->nrefused, "revision",
+		(json_int_t)itemset_revision(stand->items)));
+	return true;
+}
+
+static void
+on_request(struct httpd_request *request, void *ctx)
+{
+	struct store_stand *stand;
+
+	stand = ctx;
+	if (serve_test(stand, request))
+		return;
+	if (stand->fault == STORE_DOWN) {
+		httpd_begin(request, 200, NULL, 0);
+		httpd_abort(request);
+	} else if (stand->fault == STORE_BUSY)
+		reply_error(request, 503, "busy");
+	else if (is_beyond(stand, request)) {
+		stand->nrefused++;
+		reply_error(request, 429, "rate");
+	} else
+		serve(stand, request);
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	struct store_stand *stand;
+
+	stand = timer->data;
+	itemset_expire(stand->items, clock_now_ms());
+	wake_watches(stand);
+}
+
+struct store_stand *
+store_stand_open(const struct store_stand_options *options)
+{
+	struct httpd_options http;
+	struct store_stand *stand;
+	enum httpd_error error;
+
+	if ((stand = calloc(1, sizeof(*stand))) == NULL ||
+	    (stand->rng = gsl_rng_alloc(gsl_rng_taus2)) == NULL)
+		err(1, "store");
+	gsl_rng_set(stand->rng, options->seed);
+	stand->items = itemset_open();
+	LIST_INIT(&stand->watches);
+	pacer_init(&stand->writes, options->writes_per_s, RATE_BURST_MS,
+	    clock_now_ms());
+	pacer_init(
+	    &stand->reads, options->reads_per_s, RATE_BURST_MS, clock_now_ms());
+	memset(&http, 0, sizeof(http));
+	http.loop = options->loop;
+	http.ip = options->ip;
+	http.port = options->port;
+	http.body_max = BODY_MAX;
+	http.handler = on_request;
+	http.ctx = stand;
+	if ((stand->httpd = httpd_open(&http, &error)) == NULL)
+		errx(1, "%s:%d: %s", http.ip, http.port, httpd_strerror(error));
+	uv_timer_init(options->loop, &stand->timer);
+	stand->timer.data = stand;
+	uv_timer_start(&stand->timer, on_tick, TICK_MS, TICK_MS);
+	return stand;
+}
+
+int
+store_stand_port(const struct store_stand *stand)
+{
+	return httpd_port(stand->httpd);
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+	struct store_stand *stand;
+
+	stand = handle->data;
+	itemset_close(stand->items);
+	gsl_rng_free(stand->rng);
+	free(stand);
+}
+
+void
+store_stand_close(struct store_stand *stand)
+{
+	cut_watches(stand);
+	httpd_close(stand->httpd);
+	uv_close((uv_handle_t *)&stand->timer, on_closed);
+}
