--- a/mk/soak.sh
+++ b/mk/soak.sh
@@ -82,6 +82,13 @@
 	    fail "entry $1 left with status $p_status"
 }
 
+# Before it says so, a signal ends it as it would end any program.
+has_started()	# NUMBER
+{
+	grep -q event=started \
+	    "$out/entry-$1.$(eval "echo \$entry_$1_starts").out"
+}
+
 act()	# EVENT ARGUMENTS
 {
 	case $1 in
@@ -97,6 +104,7 @@
 		wait_gone "$2"
 		eval "entry_$2_how="
 		start_platform_entry "$2"
+		wait_for "entry $2 to start" has_started "$2"
 		;;
 	pause) kill -STOP "$(pid_of "$2")" ;;
 	resume) kill -CONT "$(pid_of "$2")" ;;
