--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # lagoonpin.  "make demo" and "make check" install what they need.
 PROGS	= lagoonpind lagoonpinctl kvstand workstand vmstand lagoonload \
-	  lagoonreplay platstand
+	  lagoonreplay platform/stand
 DIRS	= lib core entry platform $(foreach p,$(PROGS),$(if $(wildcard $(p)/*.c),$(p)))
 SAN	?= 0
 BUILD	?= target
--- a/tests/test_itemset.cc
+++ b/tests/test_itemset.cc
@@ -4,7 +4,7 @@
 #include <vector>
 
 extern "C" {
-#include "platstand/itemset.h"
+#include "platform/stand/itemset.h"
 }
 
 namespace {
--- a/tests/test_machine.cc
+++ b/tests/test_machine.cc
@@ -4,7 +4,7 @@
 #include <vector>
 
 extern "C" {
-#include "platstand/machine.h"
+#include "platform/stand/machine.h"
 }
 
 namespace {
