--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -66,7 +66,7 @@
 	  "ready_addr":"127.0.0.1:$((p_port + 1))"},
 	 "internal_ports":[$((p_port + 2)),$((p_port + 2))],
 	 "limits":{"cpu_share":0.5,"link_mbps":200},
-	 "bounds":{"max_hold_ms":6000,"grace_s":6,"status_s":120},
+	 "bounds":{"max_hold_ms":6000,"grace_s":${grace_s:-6},"status_s":120},
 	 "platform":{"address":"$store"}}
 	EOF
 }
