--- a/tests/objs.mk
+++ b/tests/objs.mk
@@ -16,8 +16,9 @@
 OBJS_test_load = $(addprefix $(OUT)/lagoonload.d/,check.o plan.o tally.o)
 OBJS_test_operators = $(addprefix $(OUT)/lagoonpind.d/,change.o conf_watch.o \
 	history.o operators.o reply.o) $(KVSTAND_OBJS)
-OBJS_test_itemset = $(OUT)/platstand.d/itemset.o
-OBJS_test_machine = $(OUT)/platstand.d/machine.o $(OUT)/workstand.d/witness.o
+OBJS_test_itemset = $(addprefix $(OUT)/platstand.d/,itemset.o xmalloc.o)
+OBJS_test_machine = $(addprefix $(OUT)/platstand.d/,machine.o xmalloc.o) \
+	$(OUT)/workstand.d/witness.o
 OBJS_test_replay = $(addprefix $(OUT)/lagoonreplay.d/,baseline.o calls.o \
 	faults.o generate.o measure.o ours.o policies.o report.o tasks.o \
 	trace.o traceline.o world.o)
