--- a/bench/lead_cost.c
+++ b/bench/lead_cost.c
@@ -100,6 +100,13 @@
 	(void)s, (void)worker, (void)n, (void)ctx;
 }
 
+static void
+on_lost(struct sched *s, const struct sched_run *run, enum sched_loss cause,
+    int64_t ran_ms, void *ctx)
+{
+	(void)s, (void)run, (void)cause, (void)ran_ms, (void)ctx;
+}
+
 static void
 on_save(struct sched *s, void *ctx)
 {
@@ -117,8 +124,8 @@
 }
 
 static const struct sched_actions actions = { on_start, on_stop, on_pace,
-	on_look, on_record, on_job, on_lapsed, on_record, on_save, on_job,
-	on_deposed };
+	on_look, on_record, on_job, on_lapsed, on_lost, on_record, on_save,
+	on_job, on_deposed };
 
 static void
 add_job(struct fleet *f)
--- a/core/sched_run.c
+++ b/core/sched_run.c
@@ -24,12 +24,24 @@
  * Attempts rise over all leaders without being stored: the term's share of
  * the number puts each later leader above all that earlier ones used.
  */
+static uint32_t
+attempts_base(const struct sched *s)
+{
+	return (uint32_t)(s->opt.term - 1) * ATTEMPTS_PER_TERM;
+}
+
+bool
+sched_run_is_first(const struct sched *s, const struct sched_run *run)
+{
+	return run->attempt == attempts_base(s) + 1;
+}
+
 uint32_t
 run_next_attempt(const struct sched *s, const struct sched_task *task)
 {
 	uint32_t base;
 
-	base = (uint32_t)(s->opt.term - 1) * ATTEMPTS_PER_TERM;
+	base = attempts_base(s);
 	return (task->attempt > base ? task->attempt : base) + 1;
 }
 
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -180,9 +180,34 @@
 	return false;
 }
 
+size_t
+sched_worker_nruns(const struct sched_worker *worker)
+{
+	const struct sched_run *run;
+	size_t n;
+
+	n = 0;
+	TAILQ_FOREACH (run, &worker->runs, by_worker)
+		n++;
+	return n;
+}
+
+/* It went down with its worker, no later than so long after its order. */
+static int64_t
+lost_after(const struct sched_run *run, int64_t now_ms)
+{
+	const struct sched_worker *worker;
+	int64_t over_ms;
+
+	worker = run->worker;
+	over_ms = worker->misses > 0 ? worker->silent_ms : now_ms;
+	return over_ms > run->sent_ms ? over_ms - run->sent_ms : 0;
+}
+
 /* Nothing runs there any more: its tasks may run elsewhere. */
 static size_t
-drop_runs(struct sched *s, struct sched_worker *worker, int64_t now_ms)
+drop_runs(struct sched *s, struct sched_worker *worker, enum sched_loss cause,
+    int64_t now_ms)
 {
 	struct sched_task *task;
 	struct sched_run *run;
@@ -193,6 +218,8 @@
 		task = run->task;
 		s->counts.lapsed++;
 		n++;
+		s->opt.actions->lost(
+		    s, run, cause, lost_after(run, now_ms), s->opt.ctx);
 		run_settle(s, run);
 		run_requeue(s, task, now_ms, now_ms);
 	}
@@ -206,7 +233,7 @@
 {
 	worker->dead = true;
 	worker_drop_strays(worker);
-	drop_runs(s, worker, now_ms);
+	drop_runs(s, worker, LOSS_OTHER_LIFE, now_ms);
 }
 
 static bool
@@ -328,7 +355,7 @@
 	worker->unneeded = 0;
 	worker_drop_strays(worker);
 	s->opt.actions->lapsed(
-	    s, worker, drop_runs(s, worker, now_ms), s->opt.ctx);
+	    s, worker, drop_runs(s, worker, LOSS_LAPSED, now_ms), s->opt.ctx);
 }
 
 static bool
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -340,6 +340,12 @@
 	ANSWER_REFUSED /* called bad: nothing was done */
 };
 
+/* How it is known that a worker's life is over, and all that ran there. */
+enum sched_loss {
+	LOSS_OTHER_LIFE, /* another life answers at its address */
+	LOSS_LAPSED /* silent until all leases there had surely lapsed */
+};
+
 struct sched_actions {
 	void (*start)(struct sched *, struct sched_run *, void *ctx);
 	void (*stop)(struct sched *, struct sched_worker *,
@@ -365,6 +371,12 @@
 	/* A silent worker's lease has lapsed: nruns tasks may go elsewhere. */
 	void (*lapsed)(
 	    struct sched *, struct sched_worker *, size_t nruns, void *ctx);
+	/*
+	 * The run went down with its worker, no later than ran_ms after it was
+	 * ordered.  It is settled next.
+	 */
+	void (*lost)(struct sched *, const struct sched_run *, enum sched_loss,
+	    int64_t ran_ms, void *ctx);
 	/* Nothing runs there and it left the list: the store may forget it. */
 	void (*forget_worker)(struct sched *, struct sched_worker *, void *ctx);
 	/* Jobs wait to be saved: see sched_next_dirty(). */
@@ -490,6 +502,8 @@
 const char *sched_job_state_name(enum sched_job_state);
 
 void sched_task_name(const struct sched_task *, struct task_name *);
+/* Of its task in this term. */
+bool sched_run_is_first(const struct sched *, const struct sched_run *);
 
 /* Saving. */
 struct sched_job *sched_next_dirty(struct sched *); /* taken off the list */
@@ -533,6 +547,8 @@
     const struct sched *, const struct sched_worker *, int64_t now_ms);
 /* Nothing of a former term can run there unknown to us. */
 bool sched_worker_settled(const struct sched_worker *);
+/* Runs there that aren't settled. */
+size_t sched_worker_nruns(const struct sched_worker *);
 bool sched_worker_has_label(const struct sched_worker *, const char *);
 
 /* Answers of workers. */
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -104,6 +104,13 @@
 		log_info("lead_first_start", "term=%llu after_ms=%lld",
 		    (unsigned long long)s->opt.term,
 		    (long long)(clock_now_ms() - s->opt.taken_ms));
+	if (!sched_run_is_first(s, run))
+		log_info("task_start_again",
+		    "job=%s occurrence=%u step=%u index=%u attempt=%u "
+		    "worker=%s beside=%zu",
+		    name.job, name.occurrence, name.step, name.index,
+		    run->attempt, run->worker->id,
+		    sched_worker_nruns(run->worker) - 1);
 	call = call_new(l, run->worker, &name, run->attempt);
 	memset(&order, 0, sizeof(order));
 	order_of(&order.order, s, run->worker, &call->task, run->attempt);
@@ -258,6 +265,35 @@
 	    (long long)(now_ms - s->opt.taken_ms));
 }
 
+static const char *
+loss_name(enum sched_loss cause)
+{
+	switch (cause) {
+	case LOSS_OTHER_LIFE:
+		return "other_life";
+	case LOSS_LAPSED:
+		return "lapsed";
+	}
+	return "unknown";
+}
+
+static void
+lost(struct sched *s, const struct sched_run *run, enum sched_loss cause,
+    int64_t ran_ms, void *ctx)
+{
+	struct task_name name;
+
+	(void)s;
+	(void)ctx;
+	sched_task_name(run->task, &name);
+	log_info("task_lost",
+	    "job=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
+	    "cause=%s ran_ms=%lld begun=%d",
+	    name.job, name.occurrence, name.step, name.index, run->attempt,
+	    run->worker->id, loss_name(cause), (long long)ran_ms,
+	    (int)(run->begun_ms != 0));
+}
+
 static void
 deposed(struct sched *s, void *ctx)
 {
@@ -277,6 +313,7 @@
 	lead_record_changed,
 	lead_unknown,
 	lapsed,
+	lost,
 	lead_record_changed,
 	save_actions,
 	save_forget,
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -18,6 +18,12 @@
 	uint32_t attempt;
 };
 
+struct Loss {
+	Order order;
+	enum sched_loss cause;
+	int64_t ran_ms;
+};
+
 // The scheduler with its actions noted.
 class Sched : public ::testing::Test {
       protected:
@@ -25,8 +31,8 @@
 	SetUp() override
 	{
 		actions = { OnStart, OnStop, OnPace, OnLook, OnRecord,
-			OnUnknown, OnLapsed, OnForgetWorker, OnSave, OnForget,
-			OnDeposed };
+			OnUnknown, OnLapsed, OnLost, OnForgetWorker, OnSave,
+			OnForget, OnDeposed };
 		memset(&options, 0, sizeof(options));
 		options.term = 1;
 		options.taken_ms = now;
@@ -226,6 +232,18 @@
 	{
 	}
 	static void
+	OnLost(struct sched *, const struct sched_run *run,
+	    enum sched_loss cause, int64_t ran_ms, void *ctx)
+	{
+		Loss loss;
+		loss.order.worker = run->worker->id;
+		sched_task_name(run->task, &loss.order.task);
+		loss.order.attempt = run->attempt;
+		loss.cause = cause;
+		loss.ran_ms = ran_ms;
+		Self(ctx)->lost.push_back(loss);
+	}
+	static void
 	OnForgetWorker(struct sched *, struct sched_worker *, void *)
 	{
 	}
@@ -248,6 +266,7 @@
 	struct sched *s;
 	int64_t now = 10000;
 	std::vector<Order> started, stopped;
+	std::vector<Loss> lost;
 	std::vector<std::pair<Order, int>> paced;
 	std::vector<std::string> looked, unknown;
 	std::vector<std::string> resumed_from; // by each of started
@@ -271,6 +290,7 @@
 	};
 	struct Machine {
 		bool reachable = true;
+		bool gone = false; // another life answers at its address
 		bool hears_stops = true; // else they are lost on the way
 		bool still = false; // its tasks make no progress
 		int slow = 1; // tasks take so many times as long
@@ -448,8 +468,10 @@
 
 		if (w == nullptr)
 			return;
-		if (!m.reachable) {
-			sched_look_answered(s, w, ANSWER_LOST, nullptr, now);
+		if (m.gone || !m.reachable) {
+			sched_look_answered(s, w,
+			    m.gone ? ANSWER_OTHER_LIFE : ANSWER_LOST, nullptr,
+			    now);
 			return;
 		}
 		for (auto &r : m.running)
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -61,6 +61,12 @@
 {
 }
 
+void
+OnLost(
+    struct sched *, const struct sched_run *, enum sched_loss, int64_t, void *)
+{
+}
+
 void
 OnForgetWorker(struct sched *, struct sched_worker *, void *)
 {
@@ -84,7 +90,7 @@
 }
 
 const struct sched_actions kActions = { OnStart, OnStop, OnPace, OnLook,
-	OnRecord, OnUnknown, OnLapsed, OnForgetWorker, OnSave, OnForget,
+	OnRecord, OnUnknown, OnLapsed, OnLost, OnForgetWorker, OnSave, OnForget,
 	OnDeposed };
 
 } // namespace
