--- a/tests/test_sched_crash.cc
+++ b/tests/test_sched_crash.cc
@@ -1,5 +1,22 @@
 #include "sched_crash_fixture.h"
 
+// Guards against a task that takes one worker after the other down.
+TEST_F(SchedCrash, ATaskThatCrashesItsWorkersIsGivenUp)
+{
+	JoinAll(8, 8000);
+	Fence();
+	Add(Lasting("lasting", 8, 1000));
+	PlayCrashes(5000);
+	crashers.insert("bad");
+	Add(Graph("bad", 1, 1000));
+	PlayCrashes(60000);
+	EXPECT_EQ("failed", StateOf("bad"));
+	EXPECT_GE(StartsOf("bad"), 2u);
+	EXPECT_LE(StartsOf("bad"), 5u);
+	EXPECT_EQ("running", StateOf("lasting"));
+	EXPECT_EQ(8u, RunningAnywhere());
+}
+
 TEST_F(SchedCrash, WhatRanOnALostWorkerIsReported)
 {
 	JoinAll(1, 8000);
