--- a/bench/lead_cost.c
+++ b/bench/lead_cost.c
@@ -101,10 +101,9 @@
 }
 
 static void
-on_lost(struct sched *s, const struct sched_run *run, enum sched_loss cause,
-    int64_t ran_ms, void *ctx)
+on_lost(struct sched *s, const struct sched_lost *lost, void *ctx)
 {
-	(void)s, (void)run, (void)cause, (void)ran_ms, (void)ctx;
+	(void)s, (void)lost, (void)ctx;
 }
 
 static void
--- a/core/sched.c
+++ b/core/sched.c
@@ -26,6 +26,7 @@
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->ending);
 	TAILQ_INIT(&s->queues);
+	LIST_INIT(&s->lost_lives);
 	s->next_serial = 1;
 	s->starts_allowed = UINT32_MAX;
 	use_init(s);
@@ -57,6 +58,7 @@
 		TAILQ_REMOVE(&s->queues, queue, link);
 		free(queue);
 	}
+	loss_free(s);
 	press_free(s->press);
 	free(s->left);
 	free(s);
@@ -124,6 +126,7 @@
 	s->next_ms = now_ms + STEP_MAX_MS;
 	open_repeats(s, now_ms);
 	leave_move(s, now_ms);
+	loss_watch(s, now_ms);
 	worker_steps(s, now_ms);
 	if (s->deposed)
 		return;
--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -30,16 +30,17 @@
 is_current(struct sched *s, struct sched_worker *worker,
     enum worker_answer answer, int64_t clock_ms, int64_t now_ms)
 {
+	/* The clock that it tells isn't this life's. */
+	if (answer == ANSWER_OTHER_LIFE) {
+		worker_died(s, worker, now_ms);
+		return false;
+	}
 	if (answer != ANSWER_LOST && answer != ANSWER_NOT_SENT && clock_ms > 0)
 		worker_heard(s, worker, clock_ms, now_ms);
 	if (answer == ANSWER_FENCED) {
 		depose(s);
 		return false;
 	}
-	if (answer == ANSWER_OTHER_LIFE) {
-		worker_died(s, worker, now_ms);
-		return false;
-	}
 	return true;
 }
 
@@ -179,8 +180,10 @@
 		health_done(worker, run, now_ms);
 	if (end->how == END_FAILED)
 		health_failed(worker, task_job(task), now_ms);
-	if (run != NULL)
+	if (run != NULL) {
+		loss_survived(task, run, now_ms);
 		run_settle(s, run);
+	}
 	if (end->how == END_DONE && !lasts)
 		task_done(s, task, now_ms);
 	else if (end->how == END_FAILED) {
@@ -263,6 +266,7 @@
 	if ((run = run_new(s, task, worker, attempt, now_ms)) == NULL)
 		return NULL;
 	run->state = RUN_RUNNING;
+	run->adopted = true;
 	run->begun_ms = now_ms;
 	run->answered_ms = now_ms;
 	return run;
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -16,6 +16,11 @@
 void task_failed(
     struct sched *, struct sched_task *, uint32_t attempt, int64_t now_ms);
 void task_keep_checkpoint(struct sched_task *, const char *);
+/* A task that a former leader's progress names; NULL: there is none. */
+struct sched_task *job_loaded_task(
+    struct sched_job *, uint32_t number, uint32_t step, uint32_t index);
+/* It can't be done: it ends as failed. */
+void job_give_up(struct sched *, struct sched_job *, int64_t now_ms);
 struct sched_job *task_job(const struct sched_task *);
 void task_leave_waiting(struct sched_task *, enum sched_task_state);
 void job_discard(struct sched *, struct sched_job *);
@@ -57,9 +62,33 @@
 bool worker_usable(const struct sched_worker *, int64_t now_ms);
 void worker_acknowledge(struct sched_worker *);
 
-/* sched_lease.c */
-void worker_heard(const struct sched *, struct sched_worker *, int64_t clock_ms,
+/* sched_loss.c */
+/* That life is over, and all that ran there.  Call before it is settled. */
+void loss_of_worker(
+    struct sched *, struct sched_worker *, enum sched_loss, int64_t now_ms);
+/* The same of one where nothing ran, as it is forgotten. */
+void loss_of_empty(struct sched *, const struct sched_worker *);
+/* What became of a worker that had lapsed. */
+void loss_settle(struct sched *, const struct sched_worker *, enum sched_loss,
     int64_t now_ms);
+/* It is in the list: what was at its address before has crashed. */
+void loss_listed(struct sched *, const struct sched_worker *, int64_t now_ms);
+/* The run ended without its worker. */
+void loss_survived(
+    struct sched_task *, const struct sched_run *, int64_t now_ms);
+/* The task may crash the worker that starts it. */
+bool loss_suspected(const struct sched *, const struct sched_task *);
+/* So long nothing else is started beside a suspect. */
+int64_t loss_alone_ms(const struct sched_task *);
+/* When a task that went down with its worker may start again. */
+int64_t loss_hold_ms(
+    const struct sched *, const struct sched_task *, int64_t now_ms);
+void loss_watch(struct sched *, int64_t now_ms);
+void loss_free(struct sched *);
+
+/* sched_lease.c */
+void worker_heard(
+    struct sched *, struct sched_worker *, int64_t clock_ms, int64_t now_ms);
 /* Its clock now, as far as it is known. */
 int64_t worker_clock(const struct sched_worker *, int64_t now_ms);
 /* When its clock has surely passed a time on it. */
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -113,9 +113,8 @@
 	job->state = JOB_RUNNING;
 }
 
-/* A task that a former leader's progress names; NULL: there is none. */
-static struct sched_task *
-loaded_task(
+struct sched_task *
+job_loaded_task(
     struct sched_job *job, uint32_t number, uint32_t step, uint32_t index)
 {
 	struct sched_occurrence *occurrence;
@@ -136,7 +135,7 @@
 {
 	struct sched_task *task;
 
-	if ((task = loaded_task(job, number, step, index)) == NULL)
+	if ((task = job_loaded_task(job, number, step, index)) == NULL)
 		return;
 	if (done && task->state != SCHED_DONE) {
 		task->state = SCHED_DONE;
@@ -169,7 +168,7 @@
 {
 	struct sched_task *task;
 
-	if ((task = loaded_task(job, number, step, index)) != NULL)
+	if ((task = job_loaded_task(job, number, step, index)) != NULL)
 		count_failure(task, attempt);
 }
 
@@ -179,7 +178,7 @@
 {
 	struct sched_task *task;
 
-	if ((task = loaded_task(job, number, step, index)) != NULL)
+	if ((task = job_loaded_task(job, number, step, index)) != NULL)
 		task_keep_checkpoint(task, checkpoint);
 }
 
@@ -590,6 +589,13 @@
 	s->place_wanted = true;
 }
 
+void
+job_give_up(struct sched *s, struct sched_job *job, int64_t now_ms)
+{
+	if (!job->in_ended)
+		job_end(s, job, JOB_FAILED, now_ms);
+}
+
 void
 job_touch(struct sched *s, struct sched_job *job)
 {
@@ -684,6 +690,7 @@
 			     i++) {
 				free(step->tasks[i].checkpoint);
 				free(step->tasks[i].failed);
+				free(step->tasks[i].losses);
 			}
 			free(step->tasks);
 		}
--- a/core/sched_lease.c
+++ b/core/sched_lease.c
@@ -50,12 +50,14 @@
 }
 
 void
-worker_heard(const struct sched *s, struct sched_worker *worker,
-    int64_t clock_ms, int64_t now_ms)
+worker_heard(struct sched *s, struct sched_worker *worker, int64_t clock_ms,
+    int64_t now_ms)
 {
 	if (worker->heard_ms == 0)
 		first_heard(s, worker, clock_ms);
 	worker->misses = 0;
+	if (worker->lapsed)
+		loss_settle(s, worker, LOSS_REFUTED, now_ms);
 	worker->lapsed = false;
 	/* An answer that others have overtaken tells an earlier time. */
 	if (worker->heard_ms != 0 && clock_ms < worker_clock(worker, now_ms))
--- /dev/null
+++ b/core/sched_loss.c
@@ -0,0 +1,411 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched_int.h"
+
+/*
+ * Tasks that went down with their workers, and those to blame for it.
+ *
+ * A task that crashes each worker that starts it reports no failure: it would
+ * be started for ever, and all that runs beside it would go down each time.  A
+ * suspect starts alone, where the least is lost; one that is found guilty is
+ * given up with its job.
+ *
+ * That a worker is silent proves no crash: it may be cut off and run on.  A
+ * crash is sure when another life answers or is listed at its address.  Until
+ * then a loss may hold a task back for a while, and ends no job.
+ */
+
+/* A run that went down sooner may have: answers take their time. */
+#define LOSS_MIN_MS 50
+/* Kept of each task, the latest. */
+#define LOSSES_MAX 8
+/*
+ * A job is given up only after so many crashes while the task surely ran, or
+ * so many that came with its starts.
+ */
+#define SURE_MIN 2
+#define CRASHED_MIN 4
+/* The next start waits so long for the proof of the last crash. */
+#define HOLD_MS 2000
+/* A worker that comes back at its address does so within this time. */
+#define LIFE_KEEP_MS 30000
+/* A suspect stays alone for twice the time after which it went down. */
+#define ALONE_MIN_MS 300
+#define ALONE_MAX_MS 2000
+#define WATCH_EVERY_MS 500
+
+struct lost_run {
+	struct task_name task;
+	uint32_t attempt;
+};
+
+/* A life of a worker that lapsed; whether it crashed isn't known. */
+struct sched_lost_life {
+	LIST_ENTRY(sched_lost_life) link;
+	char id[SCHED_WORKER_ID_MAX];
+	char address[SCHED_ADDRESS_MAX];
+	uint32_t serial;
+	int64_t at_ms;
+	size_t nruns;
+	struct lost_run runs[];
+};
+
+static enum blame
+blame_of(const struct sched *s, const struct sched_task *task)
+{
+	return blame_judge(
+	    &s->crash_rate, task->nlosses, task->losses_ms + task->lived_ms);
+}
+
+static uint32_t
+count_sure(const struct sched_task *task)
+{
+	uint32_t i, n;
+
+	n = 0;
+	for (i = 0; i < task->nlosses; i++) {
+		if (task->losses[i].crashed && task->losses[i].begun)
+			n++;
+	}
+	return n;
+}
+
+static uint32_t
+count_crashed(const struct sched_task *task)
+{
+	uint32_t i, n;
+
+	n = 0;
+	for (i = 0; i < task->nlosses; i++) {
+		if (task->losses[i].crashed)
+			n++;
+	}
+	return n;
+}
+
+static bool
+is_proved(const struct sched_task *task)
+{
+	return count_sure(task) >= SURE_MIN ||
+	    count_crashed(task) >= CRASHED_MIN;
+}
+
+static struct task_loss *
+find_loss(struct sched_task *task, uint32_t attempt)
+{
+	uint32_t i;
+
+	for (i = 0; i < task->nlosses; i++) {
+		if (task->losses[i].attempt == attempt)
+			return &task->losses[i];
+	}
+	return NULL;
+}
+
+/* What is forgotten of a loss speaks for the task from then on. */
+static void
+remove_loss(struct sched_task *task, struct task_loss *loss)
+{
+	size_t after;
+
+	task->losses_ms -= loss->ran_ms;
+	task->lived_ms += loss->ran_ms;
+	after = (size_t)(&task->losses[--task->nlosses] - loss);
+	memmove(loss, loss + 1, after * sizeof(*loss));
+}
+
+static void
+add_loss(struct sched_task *task, const struct task_loss *loss)
+{
+	struct task_loss *losses;
+
+	if (find_loss(task, loss->attempt) != NULL)
+		return;
+	if (task->nlosses == LOSSES_MAX)
+		remove_loss(task, &task->losses[0]);
+	losses = reallocarray(task->losses, task->nlosses + 1, sizeof(*losses));
+	/* Without memory it goes uncounted, as with a leader that ended. */
+	if (losses == NULL)
+		return;
+	task->losses = losses;
+	losses[task->nlosses++] = *loss;
+	task->losses_ms += loss->ran_ms;
+}
+
+static void
+report(struct sched *s, const struct sched_task *task,
+    const struct task_loss *loss, const char *worker, enum sched_loss cause)
+{
+	struct sched_lost lost;
+
+	lost.task = task;
+	lost.worker = worker;
+	lost.attempt = loss->attempt;
+	lost.cause = cause;
+	lost.ran_ms = loss->ran_ms;
+	lost.crashes = task->nlosses;
+	lost.sure = count_sure(task);
+	lost.blame = blame_of(s, task);
+	s->opt.actions->lost(s, &lost, s->opt.ctx);
+}
+
+static bool
+is_open(const struct sched_task *task)
+{
+	return task->state != SCHED_DONE && !task_job(task)->in_ended;
+}
+
+/* What is known of its losses has changed. */
+static void
+judge(struct sched *s, struct sched_task *task, int64_t now_ms)
+{
+	enum blame blame;
+
+	blame = blame_of(s, task);
+	if (blame == BLAME_NONE)
+		return;
+	if (blame == BLAME_GUILTY && is_proved(task)) {
+		s->counts.given_up++;
+		job_give_up(s, task_job(task), now_ms);
+		return;
+	}
+	job_touch(s, task_job(task));
+}
+
+/* At most so long after it was ordered. */
+static int64_t
+lost_after(const struct sched_run *run, int64_t now_ms)
+{
+	const struct sched_worker *worker;
+	int64_t over_ms;
+
+	worker = run->worker;
+	over_ms = worker->misses > 0 ? worker->silent_ms : now_ms;
+	return over_ms - run->sent_ms > LOSS_MIN_MS ? over_ms - run->sent_ms :
+						      LOSS_MIN_MS;
+}
+
+static void
+note_run(struct sched *s, struct sched_run *run, enum sched_loss cause,
+    int64_t now_ms)
+{
+	struct task_loss loss;
+
+	loss.attempt = run->attempt;
+	loss.ran_ms = lost_after(run, now_ms);
+	loss.crashed = cause == LOSS_OTHER_LIFE;
+	loss.begun = run->begun_ms != 0;
+	/* How long a former leader's start ran there isn't known. */
+	if (!run->adopted && !run->worker->draining)
+		add_loss(run->task, &loss);
+	report(s, run->task, &loss, run->worker->id, cause);
+	judge(s, run->task, now_ms);
+}
+
+static void
+keep_life(struct sched *s, const struct sched_worker *worker, int64_t now_ms)
+{
+	struct sched_lost_life *life;
+	const struct sched_run *run;
+	size_t n;
+
+	n = sched_worker_nruns(worker);
+	life = calloc(1, sizeof(*life) + n * sizeof(life->runs[0]));
+	if (life == NULL)
+		return;
+	strlcpy(life->id, worker->id, sizeof(life->id));
+	strlcpy(life->address, worker->address, sizeof(life->address));
+	life->serial = worker->serial;
+	life->at_ms = now_ms;
+	TAILQ_FOREACH (run, &worker->runs, by_worker) {
+		sched_task_name(run->task, &life->runs[life->nruns].task);
+		life->runs[life->nruns++].attempt = run->attempt;
+	}
+	LIST_INSERT_HEAD(&s->lost_lives, life, link);
+}
+
+static void
+drop_life(struct sched_lost_life *life)
+{
+	LIST_REMOVE(life, link);
+	free(life);
+}
+
+/* It was up and hadn't said that it leaves. */
+static bool
+went_unannounced(const struct sched_worker *worker)
+{
+	return worker->fenced && !worker->draining;
+}
+
+void
+loss_of_empty(struct sched *s, const struct sched_worker *worker)
+{
+	if (went_unannounced(worker) && !worker->dead && !worker->lapsed)
+		blame_crashed(&s->crash_rate);
+}
+
+void
+loss_of_worker(struct sched *s, struct sched_worker *worker,
+    enum sched_loss cause, int64_t now_ms)
+{
+	struct sched_run *run;
+
+	if (went_unannounced(worker) && !worker->lapsed) {
+		blame_crashed(&s->crash_rate);
+		if (cause == LOSS_LAPSED)
+			keep_life(s, worker, now_ms);
+	}
+	TAILQ_FOREACH (run, &worker->runs, by_worker) {
+		if (is_open(run->task))
+			note_run(s, run, cause, now_ms);
+	}
+}
+
+/* Its crash is sure, or it is up after all. */
+static void
+settle_run(struct sched *s, const struct sched_lost_life *life,
+    const struct lost_run *lost, enum sched_loss cause, int64_t now_ms)
+{
+	struct sched_task *task;
+	struct task_loss *loss, copy;
+
+	task = job_task(s, &lost->task);
+	if (task == NULL || !is_open(task) ||
+	    (loss = find_loss(task, lost->attempt)) == NULL)
+		return;
+	loss->crashed = cause == LOSS_CONFIRMED;
+	copy = *loss;
+	if (cause == LOSS_REFUTED)
+		remove_loss(task, loss);
+	report(s, task, &copy, life->id, cause);
+	judge(s, task, now_ms);
+}
+
+static void
+settle_life(struct sched *s, struct sched_lost_life *life,
+    enum sched_loss cause, int64_t now_ms)
+{
+	size_t i;
+
+	if (cause == LOSS_REFUTED)
+		blame_withdraw(&s->crash_rate);
+	for (i = 0; i < life->nruns; i++)
+		settle_run(s, life, &life->runs[i], cause, now_ms);
+	drop_life(life);
+}
+
+void
+loss_settle(struct sched *s, const struct sched_worker *worker,
+    enum sched_loss cause, int64_t now_ms)
+{
+	struct sched_lost_life *life, *next;
+
+	for (life = LIST_FIRST(&s->lost_lives); life != NULL; life = next) {
+		next = LIST_NEXT(life, link);
+		if (strcmp(life->id, worker->id) == 0)
+			settle_life(s, life, cause, now_ms);
+	}
+}
+
+void
+loss_listed(struct sched *s, const struct sched_worker *worker, int64_t now_ms)
+{
+	struct sched_lost_life *life, *next;
+
+	for (life = LIST_FIRST(&s->lost_lives); life != NULL; life = next) {
+		next = LIST_NEXT(life, link);
+		if (worker->serial > life->serial &&
+		    strcmp(life->address, worker->address) == 0 &&
+		    life->address[0] != '\0')
+			settle_life(s, life, LOSS_CONFIRMED, now_ms);
+	}
+}
+
+void
+loss_survived(
+    struct sched_task *task, const struct sched_run *run, int64_t now_ms)
+{
+	if (run->begun_ms != 0)
+		task->lived_ms += now_ms - run->begun_ms;
+}
+
+void
+sched_load_loss(struct sched_job *job, const struct task_name *name,
+    const struct task_loss *loss)
+{
+	struct sched_task *task;
+
+	task = job_loaded_task(job, name->occurrence, name->step, name->index);
+	if (task != NULL)
+		add_loss(task, loss);
+}
+
+bool
+loss_suspected(const struct sched *s, const struct sched_task *task)
+{
+	return task->nlosses > 0 && blame_of(s, task) != BLAME_NONE;
+}
+
+int64_t
+loss_alone_ms(const struct sched_task *task)
+{
+	int64_t alone_ms;
+	uint32_t i;
+
+	alone_ms = ALONE_MIN_MS;
+	for (i = 0; i < task->nlosses; i++) {
+		if (alone_ms < 2 * task->losses[i].ran_ms)
+			alone_ms = 2 * task->losses[i].ran_ms;
+	}
+	return alone_ms < ALONE_MAX_MS ? alone_ms : ALONE_MAX_MS;
+}
+
+int64_t
+loss_hold_ms(
+    const struct sched *s, const struct sched_task *task, int64_t now_ms)
+{
+	if (task->nlosses < SURE_MIN || blame_of(s, task) != BLAME_GUILTY)
+		return now_ms;
+	return now_ms + HOLD_MS;
+}
+
+static uint32_t
+count_up(const struct sched *s)
+{
+	struct sched_worker *worker;
+	uint32_t n;
+
+	n = 0;
+	RB_FOREACH (worker, sched_worker_tree,
+	    (struct sched_worker_tree *)&s->workers) {
+		if (worker->listed && worker->fenced && !worker->dead &&
+		    !worker->lapsed)
+			n++;
+	}
+	return n;
+}
+
+void
+loss_watch(struct sched *s, int64_t now_ms)
+{
+	struct sched_lost_life *life, *next;
+
+	if (s->crash_rate.at_ms != 0 &&
+	    now_ms - s->crash_rate.at_ms < WATCH_EVERY_MS)
+		return;
+	blame_watch(&s->crash_rate, count_up(s), now_ms);
+	for (life = LIST_FIRST(&s->lost_lives); life != NULL; life = next) {
+		next = LIST_NEXT(life, link);
+		if (now_ms - life->at_ms > LIFE_KEEP_MS)
+			drop_life(life);
+	}
+}
+
+void
+loss_free(struct sched *s)
+{
+	while (!LIST_EMPTY(&s->lost_lives))
+		drop_life(LIST_FIRST(&s->lost_lives));
+}
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -15,6 +15,8 @@
 #define OTHER_IMAGE 8
 /* For a rise of one serving task's load by its whole, in thousandths. */
 #define PRESSURE_COST 20000
+/* For each run that goes down with a worker, in thousandths. */
+#define LOST_RUN_COST 20000
 /* It waits so long for a worker where it disturbs nobody. */
 #define PRESSURE_WAIT_MS 8000
 /* Away from its data only after waiting for so much of its run time. */
@@ -210,6 +212,8 @@
 		score -= 1e6;
 	if (task->avoid == worker->serial)
 		score -= 1e5;
+	if (loss_suspected(p->s, task))
+		score -= LOST_RUN_COST * (double)sched_worker_nruns(worker);
 	return score;
 }
 
@@ -239,9 +243,13 @@
 
 /* How many that suit are weighed; all, where one may be much better. */
 static size_t
-enough(const struct graph_step *spec)
+enough(const struct placing *p, const struct sched_task *task)
 {
-	if (spec->rack[0] != '\0' || spec->tail_target_ms > 0)
+	const struct graph_step *spec;
+
+	spec = task->step->spec;
+	if (loss_suspected(p->s, task) || spec->rack[0] != '\0' ||
+	    spec->tail_target_ms > 0)
 		return SIZE_MAX;
 	return ENOUGH;
 }
@@ -258,6 +266,7 @@
 		return false;
 	p->looked++;
 	return worker_usable(candidate->worker, p->now_ms) &&
+	    candidate->worker->alone_until_ms <= p->now_ms &&
 	    allowed(candidate->worker, task) &&
 	    (!spec->filler || filler_may(p, candidate->worker, task));
 }
@@ -273,7 +282,7 @@
 	best = NULL;
 	best_score = -INFINITY;
 	found = 0;
-	most = enough(task->step->spec);
+	most = enough(p, task);
 	at = p->ncandidates > most ? sched_random(p->s) % p->ncandidates : 0;
 	for (i = 0; i < p->ncandidates && found < most; i++) {
 		candidate = &p->candidates[at];
@@ -334,6 +343,8 @@
 		worker->granted_ms = run->deadline_worker_ms;
 	s->counts.starts++;
 	health_placed(worker, now_ms);
+	if (loss_suspected(s, run->task))
+		worker->alone_until_ms = now_ms + loss_alone_ms(run->task);
 	if (run->task->step->spec->filler)
 		share_changed(s, worker, now_ms);
 	s->opt.actions->start(s, run, s->opt.ctx);
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -145,6 +145,7 @@
     int64_t now_ms)
 {
 	room_set_capacity(&worker->room, capacity);
+	loss_listed(s, worker, now_ms);
 	if (!worker->listed) {
 		worker->listed = true;
 		worker->look_at_ms = now_ms;
@@ -192,18 +193,6 @@
 	return n;
 }
 
-/* It went down with its worker, no later than so long after its order. */
-static int64_t
-lost_after(const struct sched_run *run, int64_t now_ms)
-{
-	const struct sched_worker *worker;
-	int64_t over_ms;
-
-	worker = run->worker;
-	over_ms = worker->misses > 0 ? worker->silent_ms : now_ms;
-	return over_ms > run->sent_ms ? over_ms - run->sent_ms : 0;
-}
-
 /* Nothing runs there any more: its tasks may run elsewhere. */
 static size_t
 drop_runs(struct sched *s, struct sched_worker *worker, enum sched_loss cause,
@@ -213,15 +202,14 @@
 	struct sched_run *run;
 	size_t n;
 
+	loss_of_worker(s, worker, cause, now_ms);
 	n = 0;
 	while ((run = TAILQ_FIRST(&worker->runs)) != NULL) {
 		task = run->task;
 		s->counts.lapsed++;
 		n++;
-		s->opt.actions->lost(
-		    s, run, cause, lost_after(run, now_ms), s->opt.ctx);
 		run_settle(s, run);
-		run_requeue(s, task, now_ms, now_ms);
+		run_requeue(s, task, loss_hold_ms(s, task, now_ms), now_ms);
 	}
 	sched_due(s, 0);
 	return n;
@@ -234,6 +222,7 @@
 	worker->dead = true;
 	worker_drop_strays(worker);
 	drop_runs(s, worker, LOSS_OTHER_LIFE, now_ms);
+	loss_settle(s, worker, LOSS_CONFIRMED, now_ms);
 }
 
 static bool
@@ -351,11 +340,11 @@
 		sched_due(s, lapses_ms);
 		return;
 	}
-	worker->lapsed = true;
 	worker->unneeded = 0;
 	worker_drop_strays(worker);
 	s->opt.actions->lapsed(
 	    s, worker, drop_runs(s, worker, LOSS_LAPSED, now_ms), s->opt.ctx);
+	worker->lapsed = true;
 }
 
 static bool
@@ -377,6 +366,7 @@
 	check_lapse(s, worker, now_ms);
 	lease_record(s, worker, now_ms);
 	if (may_be_forgotten(worker, now_ms)) {
+		loss_of_empty(s, worker);
 		s->opt.actions->forget_worker(s, worker, s->opt.ctx);
 		worker_free(s, worker);
 		return false;
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "blame.h"
 #include "graph.h"
 #include "press.h"
 #include "room.h"
@@ -26,9 +27,11 @@
 
 #define SCHED_WORKER_ID_MAX 96
 #define SCHED_LABELS_MAX 8
+#define SCHED_ADDRESS_MAX 64
 
 struct sched;
 struct sched_job;
+struct sched_lost_life;
 struct sched_occurrence;
 struct sched_step;
 struct sched_task;
@@ -72,6 +75,7 @@
 	struct sched_worker *worker;
 	uint32_t attempt;
 	enum sched_run_state state;
+	bool adopted; /* found at its worker, not started in this term */
 	bool stop_wanted;
 	bool stop_out; /* a stop is on its way */
 	int64_t stop_at_ms; /* repeat the stop then */
@@ -100,6 +104,14 @@
 	SCHED_DONE
 };
 
+/* An attempt that went down with its worker. */
+struct task_loss {
+	uint32_t attempt;
+	bool crashed; /* the worker surely has */
+	bool begun; /* the task ran there, by the worker's word */
+	int64_t ran_ms; /* at most */
+};
+
 struct sched_task {
 	TAILQ_ENTRY(sched_task) link; /* of the step's waiting tasks */
 	struct sched_step *step;
@@ -107,6 +119,10 @@
 	enum sched_task_state state;
 	uint32_t failures; /* its own, that count */
 	uint32_t *failed; /* the attempts that failed so, as many */
+	uint32_t nlosses;
+	struct task_loss *losses;
+	int64_t losses_ms; /* their run times */
+	int64_t lived_ms; /* those of other runs that are over, in this term */
 	uint32_t attempt; /* the highest used in this term */
 	uint32_t avoid; /* serial of the worker where it last failed */
 	uint32_t moves; /* off workers where it stood still, in this term */
@@ -239,7 +255,7 @@
 	int64_t step_ms; /* its next step is due; 0: something happened */
 	char id[SCHED_WORKER_ID_MAX]; /* one life of a worker */
 	char service[GRAPH_NAME_MAX];
-	char address[64];
+	char address[SCHED_ADDRESS_MAX];
 	char data_center[GRAPH_NAME_MAX];
 	char labels[SCHED_LABELS_MAX][GRAPH_NAME_MAX]; /* kind and rack */
 	size_t nlabels;
@@ -284,6 +300,7 @@
 	uint32_t failed_row; /* jobs that failed there since a success */
 	const struct sched_job *failed_job; /* the last; only compared */
 	int64_t probe_ms; /* not used before, then for one task at a time */
+	int64_t alone_until_ms; /* one that may crash it runs there alone */
 	double speed; /* measured over declared, 1 is sound */
 	int64_t paced_ms; /* when a pace here was last changed */
 	int64_t late_ms; /* when a serving task was last over its target */
@@ -343,7 +360,21 @@
 /* How it is known that a worker's life is over, and all that ran there. */
 enum sched_loss {
 	LOSS_OTHER_LIFE, /* another life answers at its address */
-	LOSS_LAPSED /* silent until all leases there had surely lapsed */
+	LOSS_LAPSED, /* silent until all leases there had surely lapsed */
+	LOSS_CONFIRMED, /* lapsed, and another life has come to its address */
+	LOSS_REFUTED /* lapsed, and it answers again */
+};
+
+/* A run that went down with its worker, or what is known of it since. */
+struct sched_lost {
+	const struct sched_task *task;
+	const char *worker;
+	uint32_t attempt;
+	enum sched_loss cause;
+	int64_t ran_ms; /* at most */
+	uint32_t crashes; /* of workers under the task, likely ones */
+	uint32_t sure; /* of these, while the task surely ran */
+	enum blame blame; /* of the task */
 };
 
 struct sched_actions {
@@ -371,12 +402,8 @@
 	/* A silent worker's lease has lapsed: nruns tasks may go elsewhere. */
 	void (*lapsed)(
 	    struct sched *, struct sched_worker *, size_t nruns, void *ctx);
-	/*
-	 * The run went down with its worker, no later than ran_ms after it was
-	 * ordered.  It is settled next.
-	 */
-	void (*lost)(struct sched *, const struct sched_run *, enum sched_loss,
-	    int64_t ran_ms, void *ctx);
+	/* A run went down with its worker. */
+	void (*lost)(struct sched *, const struct sched_lost *, void *ctx);
 	/* Nothing runs there and it left the list: the store may forget it. */
 	void (*forget_worker)(struct sched *, struct sched_worker *, void *ctx);
 	/* Jobs wait to be saved: see sched_next_dirty(). */
@@ -410,6 +437,7 @@
 	uint64_t paces;
 	uint64_t moves; /* of tasks that last, off workers that leave */
 	uint64_t stills; /* runs found without progress */
+	uint64_t given_up; /* jobs, for crashes of workers */
 };
 
 /* What the fleet has and does, for logs. */
@@ -465,6 +493,8 @@
 	struct press *press;
 	double serving_use; /* learnt: share of its claim a serving task uses */
 	double batch_use; /* the same of all others */
+	struct blame_rate crash_rate; /* of workers */
+	LIST_HEAD(, sched_lost_life) lost_lives; /* of which it isn't sure */
 	int64_t use_fell_ms; /* when serving_use last fell by itself */
 	struct sched_counts counts;
 };
@@ -492,6 +522,8 @@
     uint32_t index, bool done);
 void sched_load_failure(struct sched_job *, uint32_t number, uint32_t step,
     uint32_t index, uint32_t attempt);
+void sched_load_loss(
+    struct sched_job *, const struct task_name *, const struct task_loss *);
 void sched_load_checkpoint(struct sched_job *, uint32_t number, uint32_t step,
     uint32_t index, const char *checkpoint);
 /* All is loaded: open the steps that may run. */
--- a/entry/codec.c
+++ b/entry/codec.c
@@ -283,9 +283,26 @@
 	json_t *complete; /* whole steps */
 	json_t *tasks; /* done ones of other steps */
 	json_t *failures;
+	json_t *losses; /* [..., attempt, ran_ms, crashed, begun] */
 	json_t *checkpoints;
 };
 
+static void
+write_losses(struct progress *p, const struct sched_task *task)
+{
+	const struct task_loss *loss;
+	uint32_t i;
+
+	for (i = 0; i < task->nlosses; i++) {
+		loss = &task->losses[i];
+		json_array_append_new(p->losses,
+		    json_pack("[iiiIIii]", (int)task->step->occurrence->number,
+			(int)task->step->number, (int)task->index,
+			(json_int_t)loss->attempt, (json_int_t)loss->ran_ms,
+			(int)loss->crashed, (int)loss->begun));
+	}
+}
+
 static void
 write_task(struct progress *p, const struct sched_task *task, bool step_done)
 {
@@ -306,6 +323,7 @@
 		json_array_append_new(p->failures,
 		    json_pack(
 			"[iiiI]", k, step, index, (json_int_t)task->failed[i]));
+	write_losses(p, task);
 	/*
 	 * While it runs its worker lists a newer one.  With those of all tasks
 	 * that run, each end of a wide step wrote those of all its tasks:
@@ -338,6 +356,7 @@
 {
 	const struct sched_occurrence *occurrence;
 	struct progress p;
+	json_t *object;
 	uint32_t k;
 	size_t i;
 
@@ -345,6 +364,7 @@
 	p.complete = json_array();
 	p.tasks = json_array();
 	p.failures = json_array();
+	p.losses = json_array();
 	p.checkpoints = json_array();
 	for (k = 0; k < job->noccurrences; k++) {
 		if ((occurrence = job->occurrences[k]) == NULL)
@@ -356,10 +376,13 @@
 		for (i = 0; i < job->graph->nsteps; i++)
 			write_step_progress(&p, &occurrence->steps[i]);
 	}
-	return dump(json_pack("{so so so so so}", "occurrences", p.done,
-			"steps", p.complete, "done", p.tasks, "failures",
-			p.failures, "checkpoints", p.checkpoints),
-	    len);
+	object = json_pack("{so so so so so}", "occurrences", p.done, "steps",
+	    p.complete, "done", p.tasks, "failures", p.failures, "checkpoints",
+	    p.checkpoints);
+	if (json_array_size(p.losses) > 0)
+		json_object_set(object, "losses", p.losses);
+	json_decref(p.losses);
+	return dump(object, len);
 }
 
 static uint32_t
@@ -436,9 +459,27 @@
 	    are_rows(json_object_get(object, "steps"), 2) &&
 	    are_rows(json_object_get(object, "done"), 3) &&
 	    are_rows(json_object_get(object, "failures"), 4) &&
+	    are_rows(json_object_get(object, "losses"), 7) &&
 	    are_rows(checkpoints, 3);
 }
 
+static void
+read_loss(struct sched_job *job, const json_t *row)
+{
+	struct task_name name;
+	struct task_loss loss;
+
+	memset(&name, 0, sizeof(name));
+	name.occurrence = cell(row, 0);
+	name.step = cell(row, 1);
+	name.index = cell(row, 2);
+	loss.attempt = cell(row, 3);
+	loss.ran_ms = cell(row, 4);
+	loss.crashed = cell(row, 5) != 0;
+	loss.begun = cell(row, 6) != 0;
+	sched_load_loss(job, &name, &loss);
+}
+
 static void
 apply_progress(struct sched_job *job, const json_t *object)
 {
@@ -459,6 +500,8 @@
 	json_array_foreach(json_object_get(object, "failures"), i, row)
 	    sched_load_failure(
 		job, cell(row, 0), cell(row, 1), cell(row, 2), cell(row, 3));
+	json_array_foreach(json_object_get(object, "losses"), i, row)
+	    read_loss(job, row);
 	json_array_foreach(json_object_get(object, "checkpoints"), i, row)
 	    sched_load_checkpoint(job, cell(row, 0), cell(row, 1), cell(row, 2),
 		json_string_value(json_array_get(row, 3)));
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -273,25 +273,42 @@
 		return "other_life";
 	case LOSS_LAPSED:
 		return "lapsed";
+	case LOSS_CONFIRMED:
+		return "confirmed";
+	case LOSS_REFUTED:
+		return "refuted";
+	}
+	return "unknown";
+}
+
+static const char *
+blame_name(enum blame blame)
+{
+	switch (blame) {
+	case BLAME_NONE:
+		return "none";
+	case BLAME_SUSPECT:
+		return "suspect";
+	case BLAME_GUILTY:
+		return "guilty";
 	}
 	return "unknown";
 }
 
 static void
-lost(struct sched *s, const struct sched_run *run, enum sched_loss cause,
-    int64_t ran_ms, void *ctx)
+lost(struct sched *s, const struct sched_lost *lost, void *ctx)
 {
 	struct task_name name;
 
 	(void)s;
 	(void)ctx;
-	sched_task_name(run->task, &name);
+	sched_task_name(lost->task, &name);
 	log_info("task_lost",
 	    "job=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
-	    "cause=%s ran_ms=%lld begun=%d",
-	    name.job, name.occurrence, name.step, name.index, run->attempt,
-	    run->worker->id, loss_name(cause), (long long)ran_ms,
-	    (int)(run->begun_ms != 0));
+	    "cause=%s ran_ms=%lld crashes=%u sure=%u blame=%s",
+	    name.job, name.occurrence, name.step, name.index, lost->attempt,
+	    lost->worker, loss_name(lost->cause), (long long)lost->ran_ms,
+	    lost->crashes, lost->sure, blame_name(lost->blame));
 }
 
 static void
--- a/tests/sched_crash_fixture.h
+++ b/tests/sched_crash_fixture.h
@@ -11,6 +11,7 @@
 	// The tasks of these jobs take each worker down that starts them.
 	std::set<std::string> crashers;
 	int64_t back_ms = 3300; // until the next life
+	bool answers_first = true; // a worker answers the start, then crashes
 
 	void
 	JoinAll(int n, int64_t cpu)
@@ -26,6 +27,9 @@
 	{
 		for (int64_t end = now + for_ms; now < end;) {
 			size_t before = started.size();
+			if (!answers_first)
+				for (auto &m : at)
+					m.second.to_start = ANSWER_LOST;
 			Play(50);
 			for (size_t i = before; i < started.size(); i++)
 				if (crashers.count(started[i].task.job))
@@ -47,6 +51,27 @@
 		returns.emplace(now + back_ms, id);
 	}
 
+	// The next leader, which finds the same workers.
+	void
+	Restart()
+	{
+		sched_close(s);
+		options.term++;
+		options.taken_ms = now;
+		s = sched_open(&options);
+		started.clear();
+		Forget();
+		for (auto &m : at) {
+			if (!m.second.reachable)
+				continue;
+			struct sched_worker *w =
+			    sched_worker_get(s, m.first.c_str());
+			strlcpy(w->address, addresses[m.first].c_str(),
+			    sizeof(w->address));
+			AddWorker(m.first.c_str(), room_cpu);
+		}
+	}
+
 	// A worker that is up, by a number that the test draws.
 	std::string
 	AnyUp(unsigned number)
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -22,6 +22,7 @@
 	Order order;
 	enum sched_loss cause;
 	int64_t ran_ms;
+	enum blame blame;
 };
 
 // The scheduler with its actions noted.
@@ -232,15 +233,15 @@
 	{
 	}
 	static void
-	OnLost(struct sched *, const struct sched_run *run,
-	    enum sched_loss cause, int64_t ran_ms, void *ctx)
+	OnLost(struct sched *, const struct sched_lost *lost, void *ctx)
 	{
 		Loss loss;
-		loss.order.worker = run->worker->id;
-		sched_task_name(run->task, &loss.order.task);
-		loss.order.attempt = run->attempt;
-		loss.cause = cause;
-		loss.ran_ms = ran_ms;
+		loss.order.worker = lost->worker;
+		sched_task_name(lost->task, &loss.order.task);
+		loss.order.attempt = lost->attempt;
+		loss.cause = lost->cause;
+		loss.ran_ms = lost->ran_ms;
+		loss.blame = lost->blame;
 		Self(ctx)->lost.push_back(loss);
 	}
 	static void
@@ -384,6 +385,16 @@
 		m.running.erase(m.running.begin() + static_cast<long>(i));
 	}
 
+	// What was ordered of the last scheduler.
+	void
+	Forget()
+	{
+		starts_done = started.size();
+		stops_done = stopped.size();
+		paces_done = paced.size();
+		looked.clear();
+	}
+
 	std::map<std::string, Machine> at;
 	std::map<std::string, int64_t> run_ms; // by job; else without end
 	std::vector<int64_t> start_times; // of started
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -62,8 +62,7 @@
 }
 
 void
-OnLost(
-    struct sched *, const struct sched_run *, enum sched_loss, int64_t, void *)
+OnLost(struct sched *, const struct sched_lost *, void *)
 {
 }
 
--- a/tests/test_sched_crash.cc
+++ b/tests/test_sched_crash.cc
@@ -1,5 +1,9 @@
 #include "sched_crash_fixture.h"
 
+extern "C" {
+#include "codec.h"
+}
+
 // Guards against a task that takes one worker after the other down.
 TEST_F(SchedCrash, ATaskThatCrashesItsWorkersIsGivenUp)
 {
@@ -17,6 +21,174 @@
 	EXPECT_EQ(8u, RunningAnywhere());
 }
 
+// Guards against a crash that is known only after the worker was forgotten.
+TEST_F(SchedCrash, ALifeThatComesLateProvesTheCrash)
+{
+	back_ms = 9000;
+	JoinAll(12, 8000);
+	Fence();
+	crashers.insert("bad");
+	Add(Graph("bad", 1, 1000));
+	PlayCrashes(90000);
+	EXPECT_EQ("failed", StateOf("bad"));
+	EXPECT_LE(StartsOf("bad"), 5u);
+}
+
+// Guards against a task that crashes its worker before that can answer.
+TEST_F(SchedCrash, ATaskThatCrashesBeforeTheAnswerIsGivenUp)
+{
+	answers_first = false;
+	JoinAll(8, 8000);
+	Fence();
+	crashers.insert("bad");
+	Add(Graph("bad", 1, 1000));
+	PlayCrashes(90000);
+	EXPECT_EQ("failed", StateOf("bad"));
+	EXPECT_LE(StartsOf("bad"), 5u);
+}
+
+// Guards against a count that begins anew with each leader.
+TEST_F(SchedCrash, TheCountOutlivesTheLeader)
+{
+	size_t len, starts;
+	char *text;
+
+	JoinAll(8, 8000);
+	Fence();
+	crashers.insert("bad");
+	Add(Graph("bad", 1, 1000));
+	PlayCrashes(4000);
+	ASSERT_EQ("running", StateOf("bad"));
+	ASSERT_EQ(2u, StartsOf("bad"));
+	text = codec_progress(sched_job_find(s, "bad"), &len);
+	ASSERT_NE(nullptr, text);
+	starts = StartsOf("bad");
+	Restart();
+	Add(Graph("bad", 1, 1000), true);
+	ASSERT_EQ(0, codec_read_progress(sched_job_find(s, "bad"), text, len));
+	free(text);
+	sched_load_end(s, now);
+	Fence();
+	PlayCrashes(30000);
+	EXPECT_EQ("failed", StateOf("bad"));
+	EXPECT_LE(starts + StartsOf("bad"), 5u);
+}
+
+// Guards against a gang, of which one member crashes its worker.
+TEST_F(SchedCrash, AGangWithSuchAMemberIsGivenUp)
+{
+	struct graph *g = Graph("bad", 3, 1000);
+
+	g->steps[0].gang = true;
+	JoinAll(8, 8000);
+	Fence();
+	crashers.insert("bad");
+	Add(g);
+	PlayCrashes(60000);
+	EXPECT_EQ("failed", StateOf("bad"));
+	EXPECT_LE(StartsOf("bad"), 15u);
+}
+
+// Guards against a task that lasts, which has no limit of failures.
+TEST_F(SchedCrash, ALastingTaskThatCrashesItsWorkersIsGivenUp)
+{
+	JoinAll(8, 8000);
+	Fence();
+	crashers.insert("bad");
+	Add(Lasting("bad", 1, 1000));
+	PlayCrashes(60000);
+	EXPECT_EQ("failed", StateOf("bad"));
+	EXPECT_LE(StartsOf("bad"), 5u);
+}
+
+TEST_F(SchedCrash, ASuspectStartsAlone)
+{
+	size_t first;
+
+	JoinAll(4, 8000);
+	Fence();
+	Add(Lasting("lasting", 3, 6000));
+	PlayCrashes(5000);
+	crashers.insert("bad");
+	Add(Graph("bad", 1, 1000));
+	PlayCrashes(3000);
+	ASSERT_EQ(1u, StartsOf("bad"));
+	first = lost.size();
+	PlayCrashes(30000);
+	ASSERT_EQ("failed", StateOf("bad"));
+	for (size_t i = first; i < lost.size(); i++) {
+		if (i > first &&
+		    lost[i].order.worker == lost[first].order.worker)
+			continue;
+		EXPECT_STREQ("bad", lost[i].order.task.job) << i;
+	}
+}
+
+// Guards against jobs given up for crashes that come whatever runs.
+TEST_F(SchedCrash, ABadDayIsNobodysFault)
+{
+	unsigned draw = 1;
+
+	JoinAll(24, 8000);
+	Fence();
+	Add(Lasting("lasting", 24, 2000));
+	for (int i = 0; i < 60; i++) {
+		std::string id = "short" + std::to_string(i);
+		Add(Graph(id.c_str(), 6, 1000));
+		run_ms[id] = 800;
+		PlayCrashes(1000);
+		draw = draw * 1103515245 + 12345;
+		Crash(AnyUp(draw >> 16));
+	}
+	PlayCrashes(20000);
+	EXPECT_EQ("running", StateOf("lasting"));
+	for (int i = 0; i < 60; i++)
+		EXPECT_EQ("completed",
+		    StateOf(("short" + std::to_string(i)).c_str()));
+	EXPECT_EQ(0u, s->counts.given_up);
+}
+
+// Guards against workers that are cut off being taken for crashed.
+TEST_F(SchedCrash, ACutWorkerIsNoCrash)
+{
+	JoinAll(8, 8000);
+	Fence();
+	Add(Graph("good", 1, 1000));
+	for (int i = 0; i < 6; i++) {
+		PlayCrashes(100);
+		ASSERT_FALSE(started.empty());
+		std::string id = started.back().worker;
+		at[id].reachable = false;
+		PlayCrashes(9000);
+		EXPECT_EQ("running", StateOf("good"));
+		at[id].reachable = true;
+		at[id].running.clear();
+	}
+	PlayCrashes(1000);
+	EXPECT_EQ("running", StateOf("good"));
+	EXPECT_EQ(0u,
+	    sched_job_find(s, "good")
+		->occurrences[0]
+		->steps[0]
+		.tasks[0]
+		.nlosses);
+}
+
+// Guards against a task blamed for a worker that left as it had said.
+TEST_F(SchedCrash, AnAnnouncedDepartureIsNoCrash)
+{
+	JoinAll(8, 8000);
+	Fence();
+	Add(Lasting("good", 1, 1000));
+	for (int i = 0; i < 6; i++) {
+		PlayCrashes(100);
+		ListAsDraining(started.back().worker.c_str(), 8000);
+		Crash(started.back().worker);
+		PlayCrashes(10000);
+		EXPECT_EQ("running", StateOf("good"));
+	}
+}
+
 TEST_F(SchedCrash, WhatRanOnALostWorkerIsReported)
 {
 	JoinAll(1, 8000);
@@ -29,4 +201,5 @@
 	EXPECT_EQ(LOSS_OTHER_LIFE, lost[0].cause);
 	EXPECT_STREQ("lasting", lost[0].order.task.job);
 	EXPECT_NEAR(5000, lost[0].ran_ms, 200);
+	EXPECT_EQ(BLAME_NONE, lost[0].blame);
 }
--- a/tests/test_sched_share.cc
+++ b/tests/test_sched_share.cc
@@ -53,8 +53,8 @@
 			[](struct sched *, const char *, void *) {},
 			[](struct sched *, struct sched_worker *, size_t,
 			    void *) {},
-			[](struct sched *, const struct sched_run *,
-			    enum sched_loss, int64_t, void *) {},
+			[](struct sched *, const struct sched_lost *, void *) {
+			},
 			[](struct sched *, struct sched_worker *, void *) {},
 			[](struct sched *, void *) {},
 			[](struct sched *, const char *, void *) {},
