--- a/core/blame.c
+++ b/core/blame.c
@@ -12,7 +12,7 @@
 #define PRIOR_CRASHES 0.5
 #define PRIOR_WORKER_MS 100000.0
 /* Less probable by chance than this: hardly by chance. */
-#define SUSPECT_CHANCE 0.01
+#define SUSPECT_CHANCE 0.003
 
 /*
  * Surely not by chance, by the number of crashes.  The more there are the
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -80,6 +80,8 @@
 bool loss_suspected(const struct sched *, const struct sched_task *);
 /* So long nothing else is started beside a suspect. */
 int64_t loss_alone_ms(const struct sched_task *);
+/* Its next start waits until its losses are saved. */
+bool loss_unsaved(const struct sched_task *, int64_t now_ms);
 /* When a task that went down with its worker may start again. */
 int64_t loss_hold_ms(
     const struct sched *, const struct sched_task *, int64_t now_ms);
--- a/core/sched_loss.c
+++ b/core/sched_loss.c
@@ -26,6 +26,13 @@
  */
 #define SURE_MIN 2
 #define CRASHED_MIN 4
+/*
+ * A task that went down so often in a row, each time so soon after its order
+ * if it lasts, is given up whatever the rate of crashes: it may be the reason
+ * for the rate.
+ */
+#define ROW_MOST 4
+#define ROW_SOON_MS 3000
 /* The next start waits so long for the proof of the last crash. */
 #define HOLD_MS 2000
 /* A worker that comes back at its address does so within this time. */
@@ -51,9 +58,32 @@
 	struct lost_run runs[];
 };
 
+/* It may be one of a row. */
+static bool
+is_soon(const struct sched_task *task, const struct task_loss *loss)
+{
+	return !task->step->spec->lasts || loss->ran_ms <= ROW_SOON_MS;
+}
+
+static bool
+is_row(const struct sched_task *task)
+{
+	uint32_t i;
+
+	if (task->nlosses < ROW_MOST)
+		return false;
+	for (i = task->nlosses - ROW_MOST; i < task->nlosses; i++) {
+		if (!is_soon(task, &task->losses[i]))
+			return false;
+	}
+	return true;
+}
+
 static enum blame
 blame_of(const struct sched *s, const struct sched_task *task)
 {
+	if (is_row(task))
+		return BLAME_GUILTY;
 	return blame_judge(
 	    &s->crash_rate, task->nlosses, task->losses_ms + task->lived_ms);
 }
@@ -158,19 +188,22 @@
 
 /* What is known of its losses has changed. */
 static void
-judge(struct sched *s, struct sched_task *task, int64_t now_ms)
+judge(struct sched *s, struct sched_task *task, const struct task_loss *loss,
+    int64_t now_ms)
 {
 	enum blame blame;
 
 	blame = blame_of(s, task);
-	if (blame == BLAME_NONE)
-		return;
 	if (blame == BLAME_GUILTY && is_proved(task)) {
 		s->counts.given_up++;
 		job_give_up(s, task_job(task), now_ms);
 		return;
 	}
-	job_touch(s, task_job(task));
+	/* A long run that speaks for nothing isn't worth a write. */
+	if (blame != BLAME_NONE || is_soon(task, loss)) {
+		job_touch(s, task_job(task));
+		task->losses_change = task_job(task)->change;
+	}
 }
 
 /* At most so long after it was ordered. */
@@ -194,13 +227,13 @@
 
 	loss.attempt = run->attempt;
 	loss.ran_ms = lost_after(run, now_ms);
-	loss.crashed = cause == LOSS_OTHER_LIFE;
+	loss.crashed = cause != LOSS_LAPSED;
 	loss.begun = run->begun_ms != 0;
 	/* How long a former leader's start ran there isn't known. */
 	if (!run->adopted && !run->worker->draining)
 		add_loss(run->task, &loss);
 	report(s, run->task, &loss, run->worker->id, cause);
-	judge(s, run->task, now_ms);
+	judge(s, run->task, &loss, now_ms);
 }
 
 static void
@@ -225,6 +258,21 @@
 	LIST_INSERT_HEAD(&s->lost_lives, life, link);
 }
 
+/* Another life has been listed at the address of one that lapses. */
+static bool
+is_followed(struct sched *s, const struct sched_worker *worker)
+{
+	struct sched_worker *other;
+
+	RB_FOREACH (other, sched_worker_tree, &s->workers) {
+		if (other->serial > worker->serial && other->listed &&
+		    worker->address[0] != '\0' &&
+		    strcmp(other->address, worker->address) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void
 drop_life(struct sched_lost_life *life)
 {
@@ -254,7 +302,9 @@
 
 	if (went_unannounced(worker) && !worker->lapsed) {
 		blame_crashed(&s->crash_rate);
-		if (cause == LOSS_LAPSED)
+		if (cause == LOSS_LAPSED && is_followed(s, worker))
+			cause = LOSS_CONFIRMED;
+		else if (cause == LOSS_LAPSED)
 			keep_life(s, worker, now_ms);
 	}
 	TAILQ_FOREACH (run, &worker->runs, by_worker) {
@@ -280,7 +330,7 @@
 	if (cause == LOSS_REFUTED)
 		remove_loss(task, loss);
 	report(s, task, &copy, life->id, cause);
-	judge(s, task, now_ms);
+	judge(s, task, &copy, now_ms);
 }
 
 static void
@@ -362,6 +412,19 @@
 	return alone_ms < ALONE_MAX_MS ? alone_ms : ALONE_MAX_MS;
 }
 
+/*
+ * With a start before its last loss is saved a next leader would count one
+ * less, with each change of leaders.  Without the store it waits no longer
+ * than for the proof of a crash.
+ */
+bool
+loss_unsaved(const struct sched_task *task, int64_t now_ms)
+{
+	return task->nlosses >= SURE_MIN &&
+	    task_job(task)->saved < task->losses_change &&
+	    now_ms - task->since_ms < HOLD_MS;
+}
+
 int64_t
 loss_hold_ms(
     const struct sched *s, const struct sched_task *task, int64_t now_ms)
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -392,6 +392,7 @@
 	for (i = 0; i < step->spec->count; i++) {
 		if (step->tasks[i].state != SCHED_WAITING ||
 		    step->tasks[i].not_before_ms > p->now_ms ||
+		    loss_unsaved(&step->tasks[i], p->now_ms) ||
 		    inherit_holds(p->s, &step->tasks[i]))
 			return;
 		n = run_next_attempt(p->s, &step->tasks[i]);
@@ -482,7 +483,7 @@
 			sched_due(p->s, task->not_before_ms);
 			continue;
 		}
-		if (inherit_holds(p->s, task))
+		if (loss_unsaved(task, p->now_ms) || inherit_holds(p->s, task))
 			continue;
 		if (p->started >= p->starts_max)
 			return;
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -122,6 +122,7 @@
 	uint32_t nlosses;
 	struct task_loss *losses;
 	int64_t losses_ms; /* their run times */
+	uint64_t losses_change; /* of its job, with which they are saved */
 	int64_t lived_ms; /* those of other runs that are over, in this term */
 	uint32_t attempt; /* the highest used in this term */
 	uint32_t avoid; /* serial of the worker where it last failed */
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -11,6 +11,10 @@
 constexpr int64_t kHoldMax = 10000; // workers cut longer leases to it
 constexpr int64_t kRefresh = 250; // of the record, while a lease runs out
 constexpr int kMaxAttempts = 3, kWorkers = 4;
+constexpr int64_t kRoom = 4000; // of a worker, in thousandths of a processor
+constexpr int64_t kShrinkKnown = 1500; // a leader is told within this
+constexpr int64_t kShrinkSlack = 4100; // and keeps to it after this
+constexpr int64_t kCrashAfter = 10;
 
 Leader *
 Of(void *ctx)
@@ -109,6 +113,7 @@
 		worker->id = "w" + std::to_string(lives_++);
 		worker->place = i;
 		worker->capacity = { 4000, 4000, 0 };
+		worker->listed = worker->capacity;
 		if (faults.slow_clocks)
 			worker->slow = 0.005 * i;
 		workers_.push_back(std::move(worker));
@@ -319,8 +324,13 @@
 
 	for (auto &[other, run] : worker.runs)
 		used.cpu_millis += run.size.cpu_millis;
-	if (used.cpu_millis > worker.capacity.cpu_millis)
+	int64_t room = worker.capacity.cpu_millis;
+	if (now_ms < worker.roomy_until_ms)
+		room = std::max(room, kRoom);
+	if (used.cpu_millis > room)
 		Break("over capacity", worker.id);
+	if (facts.crashes >= 3 && ++facts.starts_after >= 3)
+		Break("crashes workers without end", name);
 	if (facts.running > 0)
 		Break("runs twice", name);
 	if (facts.done_noted)
@@ -390,6 +400,9 @@
 				    static_cast<int64_t>(random_() % 900),
 				Chance(faults_.failing), false, size, 0 };
 			worker->lease_ms = std::max(worker->lease_ms, deadline);
+			if (name.rfind(kCrasher, 0) == 0)
+				At(now_ms + kCrashAfter,
+				    [this, worker] { Replace(*worker); });
 		}
 		int64_t clock = ClockOf(*worker);
 		if (!answer_lost)
@@ -751,8 +764,10 @@
 {
 	if (!worker.alive)
 		return;
-	for (auto &[name, run] : worker.runs)
+	for (auto &[name, run] : worker.runs) {
 		facts_[name].running--;
+		facts_[name].crashes++;
+	}
 	worker.runs.clear();
 	worker.ends.clear();
 	worker.alive = false;
@@ -760,6 +775,8 @@
 	next->id = "w" + std::to_string(lives_++);
 	next->place = worker.place;
 	next->capacity = worker.capacity;
+	next->listed = worker.listed;
+	next->roomy_until_ms = worker.roomy_until_ms;
 	next->slow = worker.slow;
 	workers_.push_back(std::move(next));
 }
@@ -770,6 +787,41 @@
 	Replace(*workers_[random_() % workers_.size()]);
 }
 
+// A worker has less room for a while.
+void
+World::Shrink()
+{
+	size_t at = random_() % workers_.size();
+	int64_t room =
+	    std::uniform_int_distribution<int64_t>(0, kRoom)(random_);
+	auto set = [this, at](int64_t cpu) {
+		for (auto &w : workers_) {
+			if (w->place != workers_[at]->place)
+				continue;
+			w->capacity.cpu_millis = cpu;
+			w->roomy_until_ms = now_ms + kShrinkSlack;
+		}
+	};
+	auto tell = [this, at] {
+		for (auto &w : workers_) {
+			if (w->place == workers_[at]->place)
+				w->listed = w->capacity;
+		}
+	};
+
+	set(room);
+	At(now_ms +
+		std::uniform_int_distribution<int64_t>(0, kShrinkKnown)(
+		    random_),
+	    tell);
+	At(now_ms +
+		std::uniform_int_distribution<int64_t>(6000, 12000)(random_),
+	    [=] {
+		    set(kRoom);
+		    tell();
+	    });
+}
+
 // A worker says that it leaves, and does so some time later.
 void
 World::Leave()
@@ -801,10 +853,14 @@
 			struct sched_worker *known =
 			    sched_worker_get(s, worker->id.c_str());
 			strlcpy(known->service, "s", sizeof(known->service));
+			snprintf(known->address, sizeof(known->address), "p%d",
+			    worker->place);
 			if (worker->alive &&
 			    (!known->listed ||
-				known->draining != worker->draining))
-				sched_worker_listed(s, known, &worker->capacity,
+				known->draining != worker->draining ||
+				known->room.capacity.cpu_millis !=
+				    worker->listed.cpu_millis))
+				sched_worker_listed(s, known, &worker->listed,
 				    worker->draining, 0, now_ms);
 			if (!worker->alive && known->listed)
 				sched_worker_unlisted(s, known, now_ms);
@@ -836,6 +892,8 @@
 		At(sometime(), [this] { Leave(); });
 	for (int i = 0; i < faults_.crashes; i++)
 		At(sometime(), [this] { Crash(); });
+	for (int i = 0; i < faults_.shrinks; i++)
+		At(sometime(), [this] { Shrink(); });
 	for (int i = 0; i < faults_.cancels; i++)
 		At(sometime(), [this] {
 			struct sched *s = leaders_.back()->sched;
--- a/tests/sched_world.h
+++ b/tests/sched_world.h
@@ -36,8 +36,13 @@
 	int64_t window_ms = 5000; // in which takeovers and the like happen
 	int crashes = 0; // of workers, which come back as another life
 	int cancels = 0;
+	int crashers = 0; // jobs that crash their workers
+	int shrinks = 0; // of a worker's room, which grows again
 };
 
+// Jobs whose ids begin so take each worker down that starts a task of them.
+constexpr char kCrasher[] = "crash";
+
 // What a lax world gets wrong, to see that the checks notice it.  NoLateGuard
 // carries late starts out whatever their deadline and earlier stops say.
 // EarlyRecord says that a worker is in use before the store has it.
@@ -70,6 +75,8 @@
 	std::string id;
 	int place; // where it stands; lives follow each other there
 	struct resources capacity;
+	struct resources listed; // as leaders are told
+	int64_t roomy_until_ms = 0; // what is listed counts until then
 	bool alive = true;
 	bool draining = false;
 	uint64_t deaf_from = UINT64_MAX; // to leaders of this term and later
@@ -142,6 +149,8 @@
 		bool done = false;
 		bool done_noted = false;
 		int failed_noted = 0;
+		int crashes = 0; // of workers under it
+		int starts_after = 0; // the third
 		int running = 0;
 	};
 
@@ -161,6 +170,7 @@
 	void EndRun(Worker &, const std::string &name, enum look_end how);
 	Worker *Find(const std::string &id);
 	void Crash();
+	void Shrink();
 	void Cut();
 	void Leave();
 	void Replace(Worker &);
--- a/tests/test_sched_model.cc
+++ b/tests/test_sched_model.cc
@@ -12,13 +12,16 @@
 constexpr int64_t kPlayMs = 90000;
 
 void
-SubmitSome(World &world, int64_t window_ms = 5000)
+SubmitSome(World &world, const Faults &faults = Faults())
 {
-	int64_t gap = window_ms * 80 / 5000;
+	int64_t gap = faults.window_ms * 80 / 5000;
 
 	for (int i = 0; i < 60; i++)
 		world.SubmitAt(1000 + gap * i, "job" + std::to_string(i),
 		    1 + i % 3, 1 + i % 2);
+	for (int i = 0; i < faults.crashers; i++)
+		world.SubmitAt(1500 + 2000 * i,
+		    sched_world::kCrasher + std::to_string(i), 1, 1);
 }
 
 // Play with many seeds; returns what was broken, with the seed.
@@ -29,7 +32,7 @@
 
 	for (unsigned seed = 1; seed <= kSeeds; seed++) {
 		World world(seed, faults, lax);
-		SubmitSome(world, faults.window_ms);
+		SubmitSome(world, faults);
 		world.Play(kPlayMs);
 		for (auto &what : world.broken)
 			broken.push_back(
@@ -193,6 +196,40 @@
 	ExpectKept(faults);
 }
 
+// Guards against starts on a worker whose room has shrunk.
+TEST(SchedModel, RoomsThatShrink)
+{
+	Faults faults;
+
+	faults.shrinks = 6;
+	faults.takeovers = 2;
+	faults.lost = 0.05;
+	faults.late = 0.03;
+	ExpectKept(faults);
+}
+
+// Guards against tasks that take down all workers, one after the other.
+TEST(SchedModel, TasksThatCrashTheirWorkers)
+{
+	Faults faults;
+
+	faults.crashers = 2;
+	ExpectKept(faults);
+}
+
+// The same while workers crash by themselves, or are cut off.
+TEST(SchedModel, TasksThatCrashTheirWorkersOnABadDay)
+{
+	Faults faults;
+
+	faults.crashers = 2;
+	faults.crashes = 3;
+	faults.cuts = 2;
+	faults.takeovers = 1;
+	faults.window_ms = 20000;
+	ExpectKept(faults);
+}
+
 TEST(SchedModel, AllAtOnce)
 {
 	Faults faults;
