--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -10,6 +10,8 @@
 struct saved {
 	int64_t revision; /* of its progress in the store; 0: none */
 	bool in_flight;
+	bool alone; /* a write with it was refused: it goes by itself */
+	int64_t retry_ms; /* not again before */
 };
 
 /* Progress read before its job is known. */
--- a/entry/lead_save.c
+++ b/entry/lead_save.c
@@ -21,6 +21,8 @@
 #define GATHER_ENDED_MS 15
 #define SAVES_MAX 3
 #define RETRY_MS 100
+/* A record that the store called bad is tried again after so long. */
+#define REFUSED_RETRY_MS 2000
 /* An entry that can't hear us sees by the pulse that we still lead. */
 #define PULSE_MS 500
 /* What the pulse holds: only that it is written anew counts. */
@@ -45,6 +47,7 @@
 	struct save_row rows[KV_TXN_MAX / 2];
 	size_t n;
 	bool pulse;
+	bool alone; /* its job shares no write */
 	int64_t sent_ms;
 };
 
@@ -127,6 +130,19 @@
 	return row->text != NULL;
 }
 
+/*
+ * A job whose record the store refuses would have each write refused that it
+ * shares, the pulse with them: nothing would be saved or started any more,
+ * under this leader and the next.
+ */
+static bool
+may_join(const struct save_write *write, const struct saved *saved)
+{
+	if (saved->in_flight || write->sent_ms < saved->retry_ms)
+		return false;
+	return !saved->alone || (write->n == 0 && !write->pulse);
+}
+
 /* Take jobs that are to be saved, as many as one write holds. */
 static void
 gather(struct lead *l, struct save_write *write)
@@ -143,16 +159,17 @@
 		if (saved == NULL) {
 			/* It ended under a former leader: nothing to save. */
 			sched_saved(l->sched, job, job->change, 0);
-		} else if (saved->in_flight ||
+		} else if (!may_join(write, saved) ||
 		    !fill_row(&write->rows[write->n], job))
 			sched_dirty_again(l->sched, job);
 		else {
 			saved->in_flight = true;
+			write->alone = saved->alone;
 			entries += write->rows[write->n].ended ? ENDED_ENTRIES :
 								 LIVE_ENTRIES;
 			write->n++;
 		}
-		if (job == last)
+		if (job == last || write->alone)
 			break;
 	}
 }
@@ -246,6 +263,18 @@
 	}
 }
 
+/* Which of a shared write it was for isn't told: each goes by itself next. */
+static void
+save_refused(struct saved *saved, const struct save_row *row)
+{
+	if (saved->alone) {
+		log_warn(
+		    "save_refused", "job=%s bytes=%zu", row->job, row->len);
+		saved->retry_ms = clock_now_ms() + REFUSED_RETRY_MS;
+	}
+	saved->alone = true;
+}
+
 static void
 settle_row(
     struct lead *l, const struct save_row *row, const struct kv_result *result)
@@ -261,9 +290,12 @@
 	if (result->error != KV_OK) {
 		if (result->error == KV_CONFLICT)
 			learn_revision(saved, row, result);
+		if (result->error == KV_REFUSED)
+			save_refused(saved, row);
 		sched_dirty_again(l->sched, job);
 		return;
 	}
+	saved->alone = false;
 	saved->revision = result->revision;
 	sched_saved(l->sched, job, row->change, clock_now_ms());
 	if (row->ended)
@@ -272,6 +304,19 @@
 	wake_waiters(l, job);
 }
 
+static const char *
+retry_reason(const struct kv_result *result)
+{
+	switch (result->error) {
+	case KV_CONFLICT:
+		return "conflict";
+	case KV_REFUSED:
+		return "refused";
+	default:
+		return "store";
+	}
+}
+
 static void
 on_saved(const struct kv_result *result, void *ctx)
 {
@@ -290,10 +335,10 @@
 		for (i = 0; i < write->n; i++)
 			settle_row(l, &write->rows[i], result);
 		if (result->error != KV_OK) {
-			counter_reason("lagoonpin_save_retry",
-			    result->error == KV_CONFLICT ? "conflict" :
-							   "store");
-			if (result->error != KV_CONFLICT)
+			counter_reason(
+			    "lagoonpin_save_retry", retry_reason(result));
+			if (result->error != KV_CONFLICT &&
+			    result->error != KV_REFUSED)
 				l->save_retry_ms = now_ms + RETRY_MS;
 			l->save_wanted = true;
 			l->save_since_ms = 0;
--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -6,10 +6,10 @@
 host=jobs.example
 prefix=/q/
 
-start_platform_store()
+start_platform_store()	# ARG...
 {
 	store=127.0.0.1:$base
-	start store platstand store --listen "$store" --seed "$fleet_seed"
+	start store platstand store --listen "$store" --seed "$fleet_seed" "$@"
 	wait_for "the store" answers "$store/stats"
 }
 
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -127,6 +127,55 @@
 	EXPECT_EQ(started.size(), 2u);
 }
 
+// Guards against starts on a worker whose room has shrunk under its tasks.
+TEST_F(Sched, ARoomThatShrinksTakesNothingUntilItFits)
+{
+	const struct resources small = { 2500, 64000, 0 };
+	const struct resources large = { 6000, 64000, 0 };
+	struct sched_worker *w = AddWorker("w", 4000);
+
+	Add(Graph("a", 4, 1500));
+	Fence();
+	AllStarted();
+	ASSERT_EQ(started.size(), 2u);
+	sched_worker_listed(s, w, &small, false, 0, now += 10);
+	Answer(w, AtWork());
+	sched_act(s, now += 60);
+	EXPECT_EQ(started.size(), 2u);
+	Answer(w, { { started[1].task, started[1].attempt, "", 50, 0 } },
+	    { End(1, started[0], END_DONE) });
+	sched_act(s, now += 60);
+	EXPECT_EQ(started.size(), 2u);
+	sched_worker_listed(s, w, &large, false, 0, now += 10);
+	sched_act(s, now += 60);
+	EXPECT_EQ(started.size(), 4u);
+}
+
+// Guards against a gang, or a stop under way, that counts the former room.
+TEST_F(Sched, AShrunkRoomHoldsForGangsAndWhileAStopLasts)
+{
+	const struct resources small = { 3000, 64000, 0 };
+	struct sched_worker *w = AddWorker("w", 6000);
+	struct sched_job *job = Add(Graph("a", 1, 3000));
+	struct graph *gang = Graph("b", 2, 1500);
+
+	gang->steps[0].gang = true;
+	Fence();
+	AllStarted();
+	sched_job_cancel(s, job, now);
+	sched_act(s, now += 10);
+	ASSERT_EQ(stopped.size(), 1u);
+	sched_stop_answered(
+	    s, w, &started[0].task, started[0].attempt, ANSWER_OK, now, now);
+	sched_worker_listed(s, w, &small, false, 0, now += 10);
+	Add(gang);
+	sched_act(s, now += 60);
+	EXPECT_EQ(started.size(), 1u);
+	Answer(w, {}, { End(1, started[0], END_STOPPED) });
+	sched_act(s, now += 60);
+	EXPECT_EQ(started.size(), 3u);
+}
+
 TEST_F(Sched, RoomComesBackWithTheListedEndOnly)
 {
 	struct sched_worker *w = AddWorker("w", 2000);
