--- a/tests/test_sched_crash.cc
+++ b/tests/test_sched_crash.cc
@@ -74,6 +74,22 @@
 	EXPECT_LE(starts + StartsOf("bad"), 5u);
 }
 
+// Guards against a record of another writer taken for counted crashes.
+TEST_F(SchedCrash, LossesOfAnotherTypeSpoilTheRecord)
+{
+	struct sched_job *job = Add(Graph("good", 1, 1000), true);
+
+	for (const char *text :
+	    { R"({"losses":[[0,0,0,1,50,1]]})", R"({"losses":{}})",
+		R"({"losses":[[0,0,0,1,-5,1,1]]})", R"({"losses":[["a"]]})" })
+		EXPECT_EQ(-1, codec_read_progress(job, text, strlen(text)))
+		    << text;
+	std::string beyond =
+	    R"({"losses":[[7,0,0,1,50,1,1],[0,9,0,1,50,1,1]]})";
+	EXPECT_EQ(0, codec_read_progress(job, beyond.data(), beyond.size()));
+	EXPECT_EQ("queued", StateOf("good"));
+}
+
 // Guards against a gang, of which one member crashes its worker.
 TEST_F(SchedCrash, AGangWithSuchAMemberIsGivenUp)
 {
