--- a/core/sched.c
+++ b/core/sched.c
@@ -58,7 +58,7 @@
 		TAILQ_REMOVE(&s->queues, queue, link);
 		free(queue);
 	}
-	loss_free(s);
+	crash_free(s);
 	press_free(s->press);
 	free(s->left);
 	free(s);
@@ -126,7 +126,7 @@
 	s->next_ms = now_ms + STEP_MAX_MS;
 	open_repeats(s, now_ms);
 	leave_move(s, now_ms);
-	loss_watch(s, now_ms);
+	crash_watch(s, now_ms);
 	worker_steps(s, now_ms);
 	if (s->deposed)
 		return;
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -62,17 +62,27 @@
 bool worker_usable(const struct sched_worker *, int64_t now_ms);
 void worker_acknowledge(struct sched_worker *);
 
-/* sched_loss.c */
+/* sched_crash.c */
 /* That life is over, and all that ran there.  Call before it is settled. */
-void loss_of_worker(
+void crash_of_worker(
     struct sched *, struct sched_worker *, enum sched_loss, int64_t now_ms);
 /* The same of one where nothing ran, as it is forgotten. */
-void loss_of_empty(struct sched *, const struct sched_worker *);
+void crash_of_empty(struct sched *, const struct sched_worker *);
 /* What became of a worker that had lapsed. */
-void loss_settle(struct sched *, const struct sched_worker *, enum sched_loss,
+void crash_settle(struct sched *, const struct sched_worker *, enum sched_loss,
     int64_t now_ms);
 /* It is in the list: what was at its address before has crashed. */
-void loss_listed(struct sched *, const struct sched_worker *, int64_t now_ms);
+void crash_listed(struct sched *, const struct sched_worker *, int64_t now_ms);
+void crash_watch(struct sched *, int64_t now_ms);
+void crash_free(struct sched *);
+
+/* sched_loss.c */
+/* The run went down with its worker. */
+void loss_note(
+    struct sched *, struct sched_run *, enum sched_loss, int64_t now_ms);
+/* The crash of its worker is sure, or it is up after all. */
+void loss_settle(struct sched *, const struct task_name *, uint32_t attempt,
+    const char *worker, enum sched_loss, int64_t now_ms);
 /* The run ended without its worker. */
 void loss_survived(
     struct sched_task *, const struct sched_run *, int64_t now_ms);
@@ -85,8 +95,6 @@
 /* When a task that went down with its worker may start again. */
 int64_t loss_hold_ms(
     const struct sched *, const struct sched_task *, int64_t now_ms);
-void loss_watch(struct sched *, int64_t now_ms);
-void loss_free(struct sched *);
 
 /* sched_lease.c */
 void worker_heard(
--- a/core/sched_lease.c
+++ b/core/sched_lease.c
@@ -57,7 +57,7 @@
 		first_heard(s, worker, clock_ms);
 	worker->misses = 0;
 	if (worker->lapsed)
-		loss_settle(s, worker, LOSS_REFUTED, now_ms);
+		crash_settle(s, worker, LOSS_REFUTED, now_ms);
 	worker->lapsed = false;
 	/* An answer that others have overtaken tells an earlier time. */
 	if (worker->heard_ms != 0 && clock_ms < worker_clock(worker, now_ms))
--- a/core/sched_loss.c
+++ b/core/sched_loss.c
@@ -10,10 +10,8 @@
  * be started for ever, and all that runs beside it would go down each time.  A
  * suspect starts alone, where the least is lost; one that is found guilty is
  * given up with its job.
- *
- * That a worker is silent proves no crash: it may be cut off and run on.  A
- * crash is sure when another life answers or is listed at its address.  Until
- * then a loss may hold a task back for a while, and ends no job.
+ * Until the crash of its worker is sure (sched_crash.c) a loss may hold a task
+ * back for a while, and ends no job.
  */
 
 /* A run that went down sooner may have: answers take their time. */
@@ -35,28 +33,9 @@
 #define ROW_SOON_MS 3000
 /* The next start waits so long for the proof of the last crash. */
 #define HOLD_MS 2000
-/* A worker that comes back at its address does so within this time. */
-#define LIFE_KEEP_MS 30000
 /* A suspect stays alone for twice the time after which it went down. */
 #define ALONE_MIN_MS 300
 #define ALONE_MAX_MS 2000
-#define WATCH_EVERY_MS 500
-
-struct lost_run {
-	struct task_name task;
-	uint32_t attempt;
-};
-
-/* A life of a worker that lapsed; whether it crashed isn't known. */
-struct sched_lost_life {
-	LIST_ENTRY(sched_lost_life) link;
-	char id[SCHED_WORKER_ID_MAX];
-	char address[SCHED_ADDRESS_MAX];
-	uint32_t serial;
-	int64_t at_ms;
-	size_t nruns;
-	struct lost_run runs[];
-};
 
 /* It may be one of a row. */
 static bool
@@ -219,160 +198,47 @@
 						      LOSS_MIN_MS;
 }
 
-static void
-note_run(struct sched *s, struct sched_run *run, enum sched_loss cause,
+void
+loss_note(struct sched *s, struct sched_run *run, enum sched_loss cause,
     int64_t now_ms)
 {
 	struct task_loss loss;
+	bool counts;
 
+	if (!is_open(run->task))
+		return;
 	loss.attempt = run->attempt;
 	loss.ran_ms = lost_after(run, now_ms);
 	loss.crashed = cause != LOSS_LAPSED;
 	loss.begun = run->begun_ms != 0;
 	/* How long a former leader's start ran there isn't known. */
-	if (!run->adopted && !run->worker->draining)
+	counts = !run->adopted && !run->worker->draining;
+	if (counts)
 		add_loss(run->task, &loss);
 	report(s, run->task, &loss, run->worker->id, cause);
-	judge(s, run->task, &loss, now_ms);
-}
-
-static void
-keep_life(struct sched *s, const struct sched_worker *worker, int64_t now_ms)
-{
-	struct sched_lost_life *life;
-	const struct sched_run *run;
-	size_t n;
-
-	n = sched_worker_nruns(worker);
-	life = calloc(1, sizeof(*life) + n * sizeof(life->runs[0]));
-	if (life == NULL)
-		return;
-	strlcpy(life->id, worker->id, sizeof(life->id));
-	strlcpy(life->address, worker->address, sizeof(life->address));
-	life->serial = worker->serial;
-	life->at_ms = now_ms;
-	TAILQ_FOREACH (run, &worker->runs, by_worker) {
-		sched_task_name(run->task, &life->runs[life->nruns].task);
-		life->runs[life->nruns++].attempt = run->attempt;
-	}
-	LIST_INSERT_HEAD(&s->lost_lives, life, link);
-}
-
-/* Another life has been listed at the address of one that lapses. */
-static bool
-is_followed(struct sched *s, const struct sched_worker *worker)
-{
-	struct sched_worker *other;
-
-	RB_FOREACH (other, sched_worker_tree, &s->workers) {
-		if (other->serial > worker->serial && other->listed &&
-		    worker->address[0] != '\0' &&
-		    strcmp(other->address, worker->address) == 0)
-			return true;
-	}
-	return false;
-}
-
-static void
-drop_life(struct sched_lost_life *life)
-{
-	LIST_REMOVE(life, link);
-	free(life);
-}
-
-/* It was up and hadn't said that it leaves. */
-static bool
-went_unannounced(const struct sched_worker *worker)
-{
-	return worker->fenced && !worker->draining;
-}
-
-void
-loss_of_empty(struct sched *s, const struct sched_worker *worker)
-{
-	if (went_unannounced(worker) && !worker->dead && !worker->lapsed)
-		blame_crashed(&s->crash_rate);
+	if (counts)
+		judge(s, run->task, &loss, now_ms);
 }
 
 void
-loss_of_worker(struct sched *s, struct sched_worker *worker,
-    enum sched_loss cause, int64_t now_ms)
-{
-	struct sched_run *run;
-
-	if (went_unannounced(worker) && !worker->lapsed) {
-		blame_crashed(&s->crash_rate);
-		if (cause == LOSS_LAPSED && is_followed(s, worker))
-			cause = LOSS_CONFIRMED;
-		else if (cause == LOSS_LAPSED)
-			keep_life(s, worker, now_ms);
-	}
-	TAILQ_FOREACH (run, &worker->runs, by_worker) {
-		if (is_open(run->task))
-			note_run(s, run, cause, now_ms);
-	}
-}
-
-/* Its crash is sure, or it is up after all. */
-static void
-settle_run(struct sched *s, const struct sched_lost_life *life,
-    const struct lost_run *lost, enum sched_loss cause, int64_t now_ms)
+loss_settle(struct sched *s, const struct task_name *name, uint32_t attempt,
+    const char *worker, enum sched_loss cause, int64_t now_ms)
 {
 	struct sched_task *task;
 	struct task_loss *loss, copy;
 
-	task = job_task(s, &lost->task);
+	task = job_task(s, name);
 	if (task == NULL || !is_open(task) ||
-	    (loss = find_loss(task, lost->attempt)) == NULL)
+	    (loss = find_loss(task, attempt)) == NULL)
 		return;
 	loss->crashed = cause == LOSS_CONFIRMED;
 	copy = *loss;
 	if (cause == LOSS_REFUTED)
 		remove_loss(task, loss);
-	report(s, task, &copy, life->id, cause);
+	report(s, task, &copy, worker, cause);
 	judge(s, task, &copy, now_ms);
 }
 
-static void
-settle_life(struct sched *s, struct sched_lost_life *life,
-    enum sched_loss cause, int64_t now_ms)
-{
-	size_t i;
-
-	if (cause == LOSS_REFUTED)
-		blame_withdraw(&s->crash_rate);
-	for (i = 0; i < life->nruns; i++)
-		settle_run(s, life, &life->runs[i], cause, now_ms);
-	drop_life(life);
-}
-
-void
-loss_settle(struct sched *s, const struct sched_worker *worker,
-    enum sched_loss cause, int64_t now_ms)
-{
-	struct sched_lost_life *life, *next;
-
-	for (life = LIST_FIRST(&s->lost_lives); life != NULL; life = next) {
-		next = LIST_NEXT(life, link);
-		if (strcmp(life->id, worker->id) == 0)
-			settle_life(s, life, cause, now_ms);
-	}
-}
-
-void
-loss_listed(struct sched *s, const struct sched_worker *worker, int64_t now_ms)
-{
-	struct sched_lost_life *life, *next;
-
-	for (life = LIST_FIRST(&s->lost_lives); life != NULL; life = next) {
-		next = LIST_NEXT(life, link);
-		if (worker->serial > life->serial &&
-		    strcmp(life->address, worker->address) == 0 &&
-		    life->address[0] != '\0')
-			settle_life(s, life, LOSS_CONFIRMED, now_ms);
-	}
-}
-
 void
 loss_survived(
     struct sched_task *task, const struct sched_run *run, int64_t now_ms)
@@ -433,42 +299,3 @@
 		return now_ms;
 	return now_ms + HOLD_MS;
 }
-
-static uint32_t
-count_up(const struct sched *s)
-{
-	struct sched_worker *worker;
-	uint32_t n;
-
-	n = 0;
-	RB_FOREACH (worker, sched_worker_tree,
-	    (struct sched_worker_tree *)&s->workers) {
-		if (worker->listed && worker->fenced && !worker->dead &&
-		    !worker->lapsed)
-			n++;
-	}
-	return n;
-}
-
-void
-loss_watch(struct sched *s, int64_t now_ms)
-{
-	struct sched_lost_life *life, *next;
-
-	if (s->crash_rate.at_ms != 0 &&
-	    now_ms - s->crash_rate.at_ms < WATCH_EVERY_MS)
-		return;
-	blame_watch(&s->crash_rate, count_up(s), now_ms);
-	for (life = LIST_FIRST(&s->lost_lives); life != NULL; life = next) {
-		next = LIST_NEXT(life, link);
-		if (now_ms - life->at_ms > LIFE_KEEP_MS)
-			drop_life(life);
-	}
-}
-
-void
-loss_free(struct sched *s)
-{
-	while (!LIST_EMPTY(&s->lost_lives))
-		drop_life(LIST_FIRST(&s->lost_lives));
-}
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -145,7 +145,7 @@
     int64_t now_ms)
 {
 	room_set_capacity(&worker->room, capacity);
-	loss_listed(s, worker, now_ms);
+	crash_listed(s, worker, now_ms);
 	if (!worker->listed) {
 		worker->listed = true;
 		worker->look_at_ms = now_ms;
@@ -202,7 +202,7 @@
 	struct sched_run *run;
 	size_t n;
 
-	loss_of_worker(s, worker, cause, now_ms);
+	crash_of_worker(s, worker, cause, now_ms);
 	n = 0;
 	while ((run = TAILQ_FIRST(&worker->runs)) != NULL) {
 		task = run->task;
@@ -222,7 +222,7 @@
 	worker->dead = true;
 	worker_drop_strays(worker);
 	drop_runs(s, worker, LOSS_OTHER_LIFE, now_ms);
-	loss_settle(s, worker, LOSS_CONFIRMED, now_ms);
+	crash_settle(s, worker, LOSS_CONFIRMED, now_ms);
 }
 
 static bool
@@ -366,7 +366,7 @@
 	check_lapse(s, worker, now_ms);
 	lease_record(s, worker, now_ms);
 	if (may_be_forgotten(worker, now_ms)) {
-		loss_of_empty(s, worker);
+		crash_of_empty(s, worker);
 		s->opt.actions->forget_worker(s, worker, s->opt.ctx);
 		worker_free(s, worker);
 		return false;
