--- a/core/sched_crash.c
+++ b/core/sched_crash.c
@@ -148,14 +148,13 @@
 }
 
 static uint32_t
-count_up(const struct sched *s)
+count_up(struct sched *s)
 {
 	struct sched_worker *worker;
 	uint32_t n;
 
 	n = 0;
-	RB_FOREACH (worker, sched_worker_tree,
-	    (struct sched_worker_tree *)&s->workers) {
+	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
 		if (worker->listed && worker->fenced && !worker->dead &&
 		    !worker->lapsed)
 			n++;
--- a/core/sched_loss.c
+++ b/core/sched_loss.c
@@ -25,9 +25,8 @@
 #define SURE_MIN 2
 #define CRASHED_MIN 4
 /*
- * A task that went down so often in a row, each time so soon after its order
- * if it lasts, is given up whatever the rate of crashes: it may be the reason
- * for the rate.
+ * A task that went down so often in a row, each time so soon after its order,
+ * is given up whatever the rate of crashes: it may be the reason for the rate.
  */
 #define ROW_MOST 4
 #define ROW_SOON_MS 3000
@@ -39,9 +38,9 @@
 
 /* It may be one of a row. */
 static bool
-is_soon(const struct sched_task *task, const struct task_loss *loss)
+is_soon(const struct task_loss *loss)
 {
-	return !task->step->spec->lasts || loss->ran_ms <= ROW_SOON_MS;
+	return loss->ran_ms <= ROW_SOON_MS;
 }
 
 static bool
@@ -52,7 +51,7 @@
 	if (task->nlosses < ROW_MOST)
 		return false;
 	for (i = task->nlosses - ROW_MOST; i < task->nlosses; i++) {
-		if (!is_soon(task, &task->losses[i]))
+		if (!is_soon(&task->losses[i]))
 			return false;
 	}
 	return true;
@@ -179,7 +178,7 @@
 		return;
 	}
 	/* A long run that speaks for nothing isn't worth a write. */
-	if (blame != BLAME_NONE || is_soon(task, loss)) {
+	if (blame != BLAME_NONE || is_soon(loss)) {
 		job_touch(s, task_job(task));
 		task->losses_change = task_job(task)->change;
 	}
--- a/tests/test_sched_crash.cc
+++ b/tests/test_sched_crash.cc
@@ -164,6 +164,25 @@
 	EXPECT_EQ(0u, s->counts.given_up);
 }
 
+// Guards against a long task given up for a row of crashes on a bad day.
+TEST_F(SchedCrash, ALongTaskOnABadDayIsTriedOn)
+{
+	struct graph *g = Graph("long", 1, 1000);
+	unsigned draw = 1;
+
+	JoinAll(8, 8000);
+	Fence();
+	g->steps[0].estimate_ms = 60000;
+	Add(g);
+	for (int i = 0; i < 60; i++) {
+		PlayCrashes(1500);
+		draw = draw * 1103515245 + 12345;
+		Crash(AnyUp(draw >> 16));
+	}
+	EXPECT_LE(5u, StartsOf("long"));
+	EXPECT_EQ("running", StateOf("long"));
+}
+
 // Guards against workers that are cut off being taken for crashed.
 TEST_F(SchedCrash, ACutWorkerIsNoCrash)
 {
