--- a/mk/soak.sh
+++ b/mk/soak.sh
@@ -67,6 +67,28 @@
 	}' | sort -n
 }
 
+# Rooms that shrink and grow again; drawn apart, so that a seed's other events
+# stay as they are.
+draw_rooms()	# WORKERS SECONDS
+{
+	awk -v seed="$seed" -v workers="$1" -v seconds="$2" \
+	    -v room="$room_cpu" '
+	BEGIN {
+		srand(seed + 1000000)
+		for (t = 1; t < seconds; t += 1 + rand() * 3) {
+			n = 1 + int(rand() * workers)
+			if (t < free[n])
+				continue
+			free[n] = t + 3 + rand() * 6
+			printf "%.2f room %d %d\n", t, n, rand() * room / 4
+			if (free[n] < seconds)
+				printf "%.2f room %d %d\n", free[n], n, room
+		}
+		for (n = 1; n <= workers; n++)
+			printf "%.2f room %d %d\n", seconds, n, room
+	}'
+}
+
 pid_of()	# NUMBER
 {
 	eval "echo \$entry_$1_pid"
@@ -111,6 +133,7 @@
 	hup) kill -HUP "$(pid_of "$2")" ;;
 	store) set_store_fault "$2" "$3" ;;
 	cut) cut_worker "$2" "$3" ;;
+	room) set_room "$2" "$3" ;;
 	esac
 }
 
@@ -135,18 +158,22 @@
 	done
 }
 
+room_cpu=8000
 entries_n=$((3 + seed % 4))
 workers_n=$((4 + seed * 7 % 9))
 jobs=${JOBS:-100}
 seconds=${SECONDS_OF_FAULTS:-$((jobs / 10))}
 
 take_ports 280 1 20
-draw_schedule "$entries_n" "$workers_n" "$seconds" >"$out/schedule"
+{
+	draw_schedule "$entries_n" "$workers_n" "$seconds"
+	draw_rooms "$workers_n" "$seconds"
+} | sort -n >"$out/schedule"
 say "$entries_n entries, $workers_n workers, $jobs jobs"
 sed "s/^/$name: /" "$out/schedule"
 start_platform_store
 write_config 1 1000
-start_platform_workers "$workers_n"
+start_platform_workers "$workers_n" --cpu-millis "$room_cpu"
 start_platform_entries "$entries_n"
 start_callers --jobs "$jobs" --every-ms 100
 play <"$out/schedule"
--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -55,6 +55,13 @@
 	    fail "worker $1 refused the fault"
 }
 
+set_room()	# WORKER CPU-MILLIS
+{
+	get -f -o /dev/null -d "{\"cpu_millis\":$2}" \
+	    "http://127.0.0.1:$((base + 39 + $1))/fault" ||
+	    fail "worker $1 refused its room"
+}
+
 settings_of()	# NUMBER : the settings file of an entry
 {
 	p_port=$((base + 3 * $1))
@@ -127,7 +134,7 @@
 	p_stats=$(get "$workers/stats")
 	say "callers: $(cat "$out/callers.out")"
 	say "workers: $p_stats"
-	for p_field in two_places done_again bad; do
+	for p_field in two_places done_again bad no_room_late; do
 		[ "$(echo "$p_stats" | jq ".$p_field")" = 0 ] ||
 		    fail "$p_field: $p_stats"
 	done
--- a/tests/process/platform_crashing_task.sh
+++ b/tests/process/platform_crashing_task.sh
@@ -23,13 +23,6 @@
 	get "$workers/stats" | jq ".$1"
 }
 
-set_room()	# WORKER CPU
-{
-	get -f -o /dev/null -d "{\"cpu_millis\":$2}" \
-	    "http://127.0.0.1:$((base + 39 + $1))/fault" ||
-	    fail "worker $1 refused its room"
-}
-
 take_ports
 start_platform_store
 write_config 1 1000
