Log which life of a worker answers, why a run is stopped and why a task waits

The logs of a restarted worker's first minute didn't tell a run whose end was never listed from one that ended with an expired lease, nor which life of the worker had answered, and no line told why a step that fits isn't started.

Polls and the list of workers now carry the worker's start (born), through the adapter and the relay (version 3 of its messages: members of another version get no orders). worker_restarted has both starts, both clocks and the numbers of ends kept from before; task_stop has a reason; task_waits names, once a second at most, the task that has waited longest and what holds it back. No decision changes.

--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -57,7 +57,7 @@
 	if (!step->spec->gang || step->tasks == NULL)
 		return;
 	for (i = 0; i < step->spec->count; i++)
-		run_stop_others(s, &step->tasks[i], NULL);
+		run_stop_others(s, &step->tasks[i], NULL, STOP_GANG);
 }
 
 /* Settles a run that surely did not start and queues its task again. */
@@ -84,7 +84,7 @@
 	 * The start request may still be carried out, even after newer ones.
 	 * Once a stop is answered the worker refuses that attempt.
 	 */
-	run_request_stop(s, run);
+	run_request_stop(s, run, STOP_UNCONFIRMED);
 	/* The other tasks of the gang would wait for this one in vain. */
 	stop_gang(s, run->task->step);
 }
@@ -199,7 +199,7 @@
 	} else if (task->checkpoint != NULL && !task_job(task)->in_ended)
 		job_mark_dirty(s, task_job(task));
 	if (task->state == SCHED_DONE)
-		run_stop_others(s, task, NULL);
+		run_stop_others(s, task, NULL, STOP_DONE);
 	else
 		run_requeue(s, task, now_ms, now_ms);
 }
@@ -351,7 +351,8 @@
 	add_stray(worker, row);
 	worker->unneeded++;
 	s->counts.stops++;
-	s->opt.actions->stop(s, worker, &row->task, row->attempt, s->opt.ctx);
+	s->opt.actions->stop(
+	    s, worker, &row->task, row->attempt, STOP_UNNEEDED, s->opt.ctx);
 	return NULL;
 }
 
@@ -398,7 +399,7 @@
 		    run->answered_ms >= worker->poll_sent_ms)
 			continue;
 		if (run->state == RUN_RUNNING)
-			run_request_stop(s, run);
+			run_request_stop(s, run, STOP_UNLISTED);
 		if (run->state != RUN_STOPPING)
 			continue;
 		task = run->task;
--- a/core/sched_drain.c
+++ b/core/sched_drain.c
@@ -120,7 +120,7 @@
 			return;
 		if (!should_move(p, run, urgent))
 			continue;
-		run_request_stop(p->s, run);
+		run_request_stop(p->s, run, STOP_DRAINING);
 		p->s->counts.moves++;
 		p->moving_cpu += run->task->step->spec->size.cpu_millis;
 		p->moves++;
--- a/core/sched_health.c
+++ b/core/sched_health.c
@@ -122,6 +122,6 @@
 		}
 		run->task->avoid = worker->serial;
 		health_task_failed(worker, task_job(run->task), now_ms);
-		run_request_stop(s, run);
+		run_request_stop(s, run, STOP_STALLED);
 	}
 }
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -42,10 +42,11 @@
 uint32_t run_next_attempt(const struct sched *, const struct sched_task *);
 /* Frees a run that is surely over and releases its reservation. */
 void run_settle(struct sched *, struct sched_run *);
-void run_request_stop(struct sched *, struct sched_run *);
+void run_request_stop(
+    struct sched *, struct sched_run *, enum sched_stop_reason);
 /* Stops all runs of the task except the given one, which may be NULL. */
-void run_stop_others(
-    struct sched *, struct sched_task *, const struct sched_run *);
+void run_stop_others(struct sched *, struct sched_task *,
+    const struct sched_run *, enum sched_stop_reason);
 /*
  * Queues the task again after a run was settled, unless it is done, its job
  * has ended or another run of it is left.
@@ -158,6 +159,8 @@
 void place_waiting(struct sched *, int64_t now_ms);
 /* Some worker has room for the task now. */
 bool place_has_room(struct sched *, const struct sched_task *, int64_t now_ms);
+/* The worker's free resources suffice for the task. */
+bool place_fits(const struct sched_worker *, const struct sched_task *);
 
 /* sched_headroom.c */
 /* Adds a step that was opened to the measured demand of its queue. */
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -572,7 +572,7 @@
 {
 	if (task->state == SCHED_WAITING)
 		task_dequeue(task, SCHED_BLOCKED);
-	run_stop_others(s, task, NULL);
+	run_stop_others(s, task, NULL, STOP_JOB_ENDED);
 }
 
 static void
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -153,6 +153,16 @@
 	    count_runs_of_step(worker, task->step) < spec->per_worker;
 }
 
+bool
+place_fits(const struct sched_worker *worker, const struct sched_task *task)
+{
+	struct candidate candidate;
+
+	candidate.worker = (struct sched_worker *)worker;
+	set_free(&candidate);
+	return fits(&candidate, task->step->spec) && allowed(worker, task);
+}
+
 /* Whether the task should still wait for a worker near its data. */
 static bool
 should_wait_for_data(struct placing *p, const struct sched_task *task)
--- a/core/sched_run.c
+++ b/core/sched_run.c
@@ -141,24 +141,26 @@
 }
 
 void
-run_request_stop(struct sched *s, struct sched_run *run)
+run_request_stop(
+    struct sched *s, struct sched_run *run, enum sched_stop_reason reason)
 {
 	if (run->stop_wanted)
 		return;
 	run->stop_wanted = true;
+	run->stop_reason = reason;
 	run->stop_at_ms = 0;
 	worker_schedule(s, run->worker);
 }
 
 void
-run_stop_others(
-    struct sched *s, struct sched_task *task, const struct sched_run *except)
+run_stop_others(struct sched *s, struct sched_task *task,
+    const struct sched_run *except, enum sched_stop_reason reason)
 {
 	struct sched_run *run;
 
 	TAILQ_FOREACH (run, &task->runs, by_task) {
 		if (run != except)
-			run_request_stop(s, run);
+			run_request_stop(s, run, reason);
 	}
 }
 
@@ -171,7 +173,8 @@
 	run->stop_at_ms = now_ms + STOP_RETRY_MS;
 	s->counts.stops++;
 	sched_task_name(run->task, &name);
-	s->opt.actions->stop(s, run->worker, &name, run->attempt, s->opt.ctx);
+	s->opt.actions->stop(
+	    s, run->worker, &name, run->attempt, run->stop_reason, s->opt.ctx);
 }
 
 /* Send the stops that are due at the worker. */
--- a/core/sched_share.c
+++ b/core/sched_share.c
@@ -567,7 +567,7 @@
 		else if (run->pace == 0 && is_movable(run) &&
 		    now_ms - run->paced_ms > move_after_ms(run->task)) {
 			run->task->moves++;
-			run_request_stop(s, run);
+			run_request_stop(s, run, STOP_THROTTLED);
 		}
 	}
 }
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -69,6 +69,19 @@
 	RUN_STOPPING /* stop answered; the end isn't listed yet */
 };
 
+/* Why a run is stopped. */
+enum sched_stop_reason {
+	STOP_UNCONFIRMED, /* its start had no answer */
+	STOP_UNLISTED, /* its worker lists it neither as running nor ended */
+	STOP_UNNEEDED, /* found at its worker, and its task is done or over */
+	STOP_STALLED, /* it makes no progress */
+	STOP_DRAINING, /* moved off a draining worker */
+	STOP_THROTTLED, /* moved, as it could not run beside serving tasks */
+	STOP_GANG, /* another task of its gang isn't running */
+	STOP_DONE, /* another run has completed the task */
+	STOP_JOB_ENDED
+};
+
 /*
  * One attempt of a task on a worker.  It holds its reservation there until it
  * is settled, that is, certainly over.
@@ -82,6 +95,7 @@
 	enum sched_run_state state;
 	bool adopted; /* found at its worker, not started in this term */
 	bool stop_wanted;
+	enum sched_stop_reason stop_reason; /* once it is wanted */
 	bool stop_pending; /* a stop is unanswered */
 	int64_t stop_at_ms; /* when to send the stop again */
 	int64_t listed_ms; /* when the worker last listed it as running */
@@ -277,6 +291,8 @@
 	int64_t usages_ms; /* when they were last updated */
 	struct sched_runs runs;
 	struct sched_ends ends;
+	int64_t born_ms; /* start told with its last list of runs; 0: none */
+	int64_t listed_born_ms; /* start told by its entry in the list */
 	bool listed;
 	bool in_list; /* the caller's, while it reads the whole list */
 	unsigned int record_may; /* RECORD_BIT()s the store may hold */
@@ -343,6 +359,7 @@
 };
 
 struct poll_result {
+	int64_t born_ms; /* the worker's start, ms since 1970; 0: not told */
 	int64_t clock_ms;
 	const struct poll_running *running;
 	size_t nrunning;
@@ -386,7 +403,8 @@
 struct sched_actions {
 	void (*start)(struct sched *, struct sched_run *, void *ctx);
 	void (*stop)(struct sched *, struct sched_worker *,
-	    const struct task_name *, uint32_t attempt, void *ctx);
+	    const struct task_name *, uint32_t attempt, enum sched_stop_reason,
+	    void *ctx);
 	void (*pace)(
 	    struct sched *, struct sched_run *, int percent, void *ctx);
 	/*
@@ -627,6 +645,30 @@
 
 void sched_measure(struct sched *, struct sched_load *, int64_t now_ms);
 
+/* What keeps a waiting task from being started. */
+enum sched_wait {
+	WAIT_NONE, /* no task waits */
+	WAIT_FROZEN, /* another entry may lead */
+	WAIT_BACKOFF, /* its last run failed to start or was lost */
+	WAIT_UNSAVED, /* the loss of its last run isn't saved */
+	WAIT_INHERITED, /* it may run on a worker that hasn't answered */
+	WAIT_WORKERS, /* no usable worker has room or is suitable */
+	WAIT_TURN /* a worker has room: it waits for the next pass */
+};
+
+/* The task that has waited longest, for logs. */
+struct sched_waiting {
+	int64_t now_ms;
+	enum sched_wait cause;
+	struct task_name task;
+	uint32_t step_tasks; /* of its step, waiting too */
+	int64_t waited_ms;
+	uint32_t usable; /* workers that accept tasks */
+	uint32_t with_room; /* of these, with room for it */
+};
+void sched_explain_waiting(
+    struct sched *, struct sched_waiting *, int64_t now_ms);
+
 /* Issue all due requests.  Call it after events and at sched->next_ms. */
 void sched_act(struct sched *, int64_t now_ms);
 
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -34,6 +34,8 @@
  */
 #define RELAY_WORKERS_MIN 100
 #define LOAD_LOG_INTERVAL_MS 1000
+/* A task that has waited so long is logged with the reason. */
+#define WAIT_LOGGED_MS 2000
 /* A member whose last hello is no older follows us; it sends one each 0.5 s. */
 #define FOLLOWER_MS 1300
 /* Ticks come each 20 ms; after a longer gap the process was suspended. */
@@ -362,6 +364,46 @@
 	    (unsigned long long)l->sched->counts.moves);
 }
 
+static const char *
+wait_name(enum sched_wait cause)
+{
+	switch (cause) {
+	case WAIT_NONE:
+		return "none";
+	case WAIT_FROZEN:
+		return "frozen";
+	case WAIT_BACKOFF:
+		return "backoff";
+	case WAIT_UNSAVED:
+		return "loss_unsaved";
+	case WAIT_INHERITED:
+		return "may_run_elsewhere";
+	case WAIT_WORKERS:
+		return "no_worker";
+	case WAIT_TURN:
+		return "next_pass";
+	}
+	return "unknown";
+}
+
+/* The task that has waited longest, and why, at most once a second. */
+static void
+log_waiting(struct lead *l, int64_t now_ms)
+{
+	struct sched_waiting waiting;
+
+	sched_explain_waiting(l->sched, &waiting, now_ms);
+	if (waiting.cause == WAIT_NONE || waiting.waited_ms < WAIT_LOGGED_MS)
+		return;
+	log_info("task_waits",
+	    "job=%s occurrence=%u step=%u index=%u reason=%s waited_ms=%lld "
+	    "step_tasks=%u usable=%u with_room=%u",
+	    waiting.task.job, waiting.task.occurrence, waiting.task.step,
+	    waiting.task.index, wait_name(waiting.cause),
+	    (long long)waiting.waited_ms, waiting.step_tasks, waiting.usable,
+	    waiting.with_room);
+}
+
 static size_t
 count_workers(const struct lead *l)
 {
@@ -387,8 +429,10 @@
 	save_tick(l, now_ms);
 	fleet_tick(l, now_ms);
 	sweep_tick(l, now_ms);
-	if (l->ready && now_ms - l->load_logged_ms >= LOAD_LOG_INTERVAL_MS)
+	if (l->ready && now_ms - l->load_logged_ms >= LOAD_LOG_INTERVAL_MS) {
 		log_load(l, now_ms);
+		log_waiting(l, now_ms);
+	}
 }
 
 void
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -137,17 +137,47 @@
 	call_end(call);
 }
 
+static const char *
+stop_reason_name(enum sched_stop_reason reason)
+{
+	switch (reason) {
+	case STOP_UNCONFIRMED:
+		return "no_answer";
+	case STOP_UNLISTED:
+		return "unlisted";
+	case STOP_UNNEEDED:
+		return "unneeded";
+	case STOP_STALLED:
+		return "stalled";
+	case STOP_DRAINING:
+		return "draining";
+	case STOP_THROTTLED:
+		return "throttled";
+	case STOP_GANG:
+		return "gang";
+	case STOP_DONE:
+		return "done";
+	case STOP_JOB_ENDED:
+		return "job_ended";
+	}
+	return "unknown";
+}
+
 static void
 stop(struct sched *s, struct sched_worker *worker, const struct task_name *task,
-    uint32_t attempt, void *ctx)
+    uint32_t attempt, enum sched_stop_reason reason, void *ctx)
 {
 	struct worker_order order;
 	struct call *call;
 	struct lead *l;
 
 	l = ctx;
-	log_info("task_stop", "job=%s step=%u index=%u attempt=%u worker=%s",
-	    task->job, task->step, task->index, attempt, worker->id);
+	log_info("task_stop",
+	    "job=%s step=%u index=%u attempt=%u worker=%s reason=%s "
+	    "processed=%llu acknowledged=%llu",
+	    task->job, task->step, task->index, attempt, worker->id,
+	    stop_reason_name(reason), (unsigned long long)worker->processed,
+	    (unsigned long long)worker->acknowledged);
 	call = call_new(l, worker, task, attempt);
 	order_init(&order, s, worker, &call->task, attempt);
 	l->workers.stop(l->workers.self, &order, on_stop, call);
@@ -208,6 +238,31 @@
 		    misses, (int)answer, silent_for(worker, now_ms));
 }
 
+/*
+ * Logs a worker that tells another start than before, with what is kept from
+ * before: its clock as expected, and the ends processed and acknowledged.
+ */
+static void
+log_start(
+    struct sched_worker *worker, const struct poll_result *poll, int64_t now_ms)
+{
+	if (poll == NULL || poll->born_ms == worker->born_ms)
+		return;
+	if (worker->heard_ms != 0)
+		log_warn("worker_restarted",
+		    "worker=%s born=%lld before=%lld clock=%lld "
+		    "clock_before=%lld processed=%llu acknowledged=%llu "
+		    "tasks=%zu listed=%zu ended=%zu",
+		    worker->id, (long long)poll->born_ms,
+		    (long long)worker->born_ms, (long long)poll->clock_ms,
+		    (long long)(worker->clock_ms + now_ms - worker->heard_ms),
+		    (unsigned long long)worker->processed,
+		    (unsigned long long)worker->acknowledged,
+		    sched_worker_nruns(worker), poll->nrunning,
+		    poll->nfinished);
+	worker->born_ms = poll->born_ms;
+}
+
 static void
 on_poll(const struct worker_result *result, void *ctx)
 {
@@ -220,6 +275,7 @@
 	now_ms = clock_now_ms();
 	if ((worker = call_worker(call)) != NULL) {
 		misses = worker->misses;
+		log_start(worker, result->poll, now_ms);
 		sched_poll_answered(call->lead->sched, worker, result->answer,
 		    result->poll, now_ms);
 		log_silence(worker, result->answer, misses, now_ms);
--- a/entry/lead_fleet.c
+++ b/entry/lead_fleet.c
@@ -61,6 +61,12 @@
 	if (info.draining && !worker->draining)
 		log_info("worker_draining", "worker=%s leaves_in_ms=%lld",
 		    info.id, (long long)info.leaves_in_ms);
+	if (worker->listed_born_ms != 0 &&
+	    worker->listed_born_ms != info.born_ms)
+		log_info("worker_listed_again",
+		    "worker=%s born=%lld before=%lld", info.id,
+		    (long long)info.born_ms, (long long)worker->listed_born_ms);
+	worker->listed_born_ms = info.born_ms;
 	strlcpy(worker->service, info.service, sizeof(worker->service));
 	strlcpy(worker->address, info.address, sizeof(worker->address));
 	strlcpy(
--- a/entry/relaywire.h
+++ b/entry/relaywire.h
@@ -17,7 +17,7 @@
  * Messages of other versions are rejected.  The leader relays only through
  * members of its own version.
  */
-#define RELAY_VERSION 2
+#define RELAY_VERSION 3
 
 enum relay_kind { RELAY_START = 1, RELAY_STOP, RELAY_PACE, RELAY_POLL };
 
--- a/entry/relaywire_int.h
+++ b/entry/relaywire_int.h
@@ -15,8 +15,8 @@
 #define PACE_ITEMS (ORDER_ITEMS + TASK_ITEMS + 1)
 #define POLL_ITEMS (ORDER_ITEMS + 4)
 #define ANSWER_ITEMS 3 /* number, answer, the worker's clock */
-/* worker, base, running, finished */
-#define POLL_ANSWER_ITEMS (ANSWER_ITEMS + 4)
+/* worker, its start, base, running, finished */
+#define POLL_ANSWER_ITEMS (ANSWER_ITEMS + 5)
 #define DELTA_ITEMS 3 /* index in the base, percent, measurement */
 #define DELTA_CHECKPOINT_ITEMS (DELTA_ITEMS + 1) /* and its new checkpoint */
 #define RUNNING_ITEMS (TASK_ITEMS + 3) /* checkpoint, percent, measurement */
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -109,14 +109,17 @@
 		return w;
 	}
 
-	// Answers a poll of the worker with these lists.
+	// Answers a poll of the worker with these lists, as a worker that
+	// tells this start and clock.
 	void
 	Answer(struct sched_worker *w,
 	    const std::vector<poll_running> &running = {},
-	    const std::vector<poll_finished> &finished = {})
+	    const std::vector<poll_finished> &finished = {}, int64_t born = 0,
+	    int64_t clock = 0)
 	{
-		struct poll_result result = { now, running.data(),
-			running.size(), finished.data(), finished.size() };
+		struct poll_result result = { born, clock != 0 ? clock : now,
+			running.data(), running.size(), finished.data(),
+			finished.size() };
 
 		sched_poll_answered(s, w, ANSWER_OK, &result, now);
 	}
@@ -198,7 +201,8 @@
 	}
 	static void
 	OnStop(struct sched *, struct sched_worker *w,
-	    const struct task_name *task, uint32_t attempt, void *ctx)
+	    const struct task_name *task, uint32_t attempt,
+	    enum sched_stop_reason, void *ctx)
 	{
 		Self(ctx)->stopped.push_back({ w->id, *task, attempt });
 	}
@@ -306,6 +310,8 @@
 		// Delay after which lost starts are carried out; 0: never.
 		int64_t start_delay_ms = 0;
 		uint64_t last_end = 0;
+		int64_t born_ms = 0; // start that it tells; 0: none
+		int64_t clock_base_ms = 0; // its clock began then
 		std::vector<Running> running, delayed;
 		std::vector<Ended> ended;
 	};
@@ -376,6 +382,13 @@
 		return n;
 	}
 
+	// What the poll under way acknowledges.
+	static uint64_t
+	AcknowledgedByPoll(const struct sched_worker *w)
+	{
+		return w->acknowledged;
+	}
+
 	static bool
 	SameAttempt(const Order &a, const Order &b)
 	{
@@ -446,7 +459,7 @@
 		else if (answer == ANSWER_LOST && m.start_delay_ms > 0)
 			m.delayed.push_back({ o, now + m.start_delay_ms });
 		sched_start_answered(
-		    s, Find(o), &o.task, o.attempt, answer, now, now);
+		    s, Find(o), &o.task, o.attempt, answer, Clock(m), now);
 	}
 
 	void
@@ -463,7 +476,13 @@
 				m.delayed.erase(
 				    m.delayed.begin() + static_cast<long>(i));
 		sched_stop_answered(s, Find(o), &o.task, o.attempt,
-		    heard ? ANSWER_OK : ANSWER_LOST, now, now);
+		    heard ? ANSWER_OK : ANSWER_LOST, Clock(m), now);
+	}
+
+	int64_t
+	Clock(const SimWorker &m) const
+	{
+		return now - m.clock_base_ms;
 	}
 
 	int
@@ -498,11 +517,11 @@
 			rows.push_back({ r.order.task, r.order.attempt, "",
 			    Percent(m, r), m.tail_ms });
 		while (!m.ended.empty() &&
-		    m.ended.front().number <= w->acknowledged)
+		    m.ended.front().number <= AcknowledgedByPoll(w))
 			m.ended.erase(m.ended.begin());
 		for (auto &e : m.ended)
 			ends.push_back(End(e.number, e.order, e.how));
-		Answer(w, rows, ends);
+		Answer(w, rows, ends, m.born_ms, Clock(m));
 	}
 
 	size_t starts_done = 0, stops_done = 0, paces_done = 0;
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -17,6 +17,9 @@
 // After this time starts must respect the new capacity.
 constexpr int64_t kShrinkGraceMs = 4100;
 constexpr int64_t kCrashAfterMs = 10;
+constexpr int64_t kFirstBornMs = 1000000;
+// A new life is in the list after this time at the latest.
+constexpr int64_t kListedAfterMs = 2000;
 
 Leader *
 LeaderOf(void *ctx)
@@ -32,7 +35,8 @@
 
 void
 OnStop(struct sched *, struct sched_worker *worker,
-    const struct task_name *task, uint32_t attempt, void *ctx)
+    const struct task_name *task, uint32_t attempt, enum sched_stop_reason,
+    void *ctx)
 {
 	LeaderOf(ctx)->world->Stop(LeaderOf(ctx), worker->id, *task, attempt);
 }
@@ -118,6 +122,8 @@
 		worker->listed = worker->capacity;
 		if (faults.slow_clocks)
 			worker->clock_slowdown = 0.005 * i;
+		if (faults.same_ids)
+			worker->born_ms = kFirstBornMs;
 		workers_.push_back(std::move(worker));
 	}
 	TakeOver();
@@ -141,15 +147,23 @@
 	events_.emplace(ms, std::move(event));
 }
 
+// An order that a worker carries out late ends with its incarnation.
 void
-World::Deliver(double late_share, std::function<void()> event)
+World::Deliver(
+    double late_share, const std::string &id, std::function<void()> event)
 {
-	int64_t delay = kOneWayMs;
+	const Worker *life = Find(id);
 
-	if (Chance(late_share))
-		delay = 2000 +
-		    std::uniform_int_distribution<int64_t>(0, 10000)(random_);
-	At(now_ms + delay, std::move(event));
+	if (!Chance(late_share)) {
+		At(now_ms + kOneWayMs, std::move(event));
+		return;
+	}
+	At(now_ms + 2000 +
+		std::uniform_int_distribution<int64_t>(0, 10000)(random_),
+	    [=, this] {
+		    if (Find(id) == life)
+			    event();
+	    });
 }
 
 void
@@ -159,12 +173,13 @@
 	    what + " " + about + " at " + std::to_string(now_ms));
 }
 
+// The latest incarnation with this id.
 Worker *
 World::Find(const std::string &id)
 {
-	for (auto &worker : workers_) {
-		if (worker->id == id)
-			return worker.get();
+	for (size_t i = workers_.size(); i-- > 0;) {
+		if (workers_[i]->id == id)
+			return workers_[i].get();
 	}
 	return nullptr;
 }
@@ -383,7 +398,7 @@
 			sched_start_answered(leader->sched, worker, &task,
 			    attempt, answer, clock, now_ms);
 	};
-	Deliver(faults_.late, [=, this] {
+	Deliver(faults_.late, id, [=, this] {
 		Worker *worker = Find(id);
 		std::string name = NameOf(task);
 		enum worker_answer answer = ANSWER_OK;
@@ -440,7 +455,7 @@
 			    attempt, answer, clock, now_ms);
 	};
 
-	Deliver(faults_.late, [=, this] {
+	Deliver(faults_.late, id, [=, this] {
 		Worker *worker = Find(id);
 		std::string name = NameOf(task);
 		if (!Reaches(leader, worker))
@@ -537,7 +552,7 @@
 		for (auto &end : worker->ends)
 			ends->push_back(
 			    { end.number, end.task, end.attempt, end.how, "" });
-		int64_t clock = ClockOf(*worker);
+		int64_t clock = ClockOf(*worker), born = worker->born_ms;
 		if (answer_lost)
 			return;
 		At(now_ms + kOneWayMs, [=, this] {
@@ -546,7 +561,7 @@
 			*answered = true;
 			struct sched_worker *known =
 			    sched_worker_find(leader->sched, id.c_str());
-			struct poll_result result = { clock, runs->data(),
+			struct poll_result result = { born, clock, runs->data(),
 				runs->size(), ends->data(), ends->size() };
 			if (known != nullptr)
 				sched_poll_answered(leader->sched, known,
@@ -689,7 +704,8 @@
 World::ClockOf(const Worker &worker) const
 {
 	return static_cast<int64_t>(
-	    static_cast<double>(now_ms) * (1 - worker.clock_slowdown));
+	    static_cast<double>(now_ms - worker.clock_base_ms) *
+	    (1 - worker.clock_slowdown));
 }
 
 bool
@@ -788,8 +804,18 @@
 	worker.ends.clear();
 	worker.alive = false;
 	auto next = std::make_unique<Worker>();
-	next->id = "w" + std::to_string(incarnations_++);
+	next->id = faults_.same_ids ? worker.id :
+				      "w" + std::to_string(incarnations_++);
 	next->host = worker.host;
+	if (faults_.same_ids) {
+		// Times of day may be stepped back between the two.
+		next->born_ms =
+		    worker.born_ms + (Chance(0.5) ? 1 + now_ms : -1 - now_ms);
+		next->clock_base_ms = now_ms - 1;
+		next->listed_from_ms = now_ms +
+		    std::uniform_int_distribution<int64_t>(0, kListedAfterMs)(
+			random_);
+	}
 	next->capacity = worker.capacity;
 	next->listed = worker.listed;
 	next->full_capacity_until_ms = worker.full_capacity_until_ms;
@@ -871,8 +897,13 @@
 			strlcpy(known->service, "s", sizeof(known->service));
 			snprintf(known->address, sizeof(known->address), "p%d",
 			    worker->host);
+			if (worker.get() != Find(worker->id) ||
+			    now_ms < worker->listed_from_ms)
+				continue;
+			bool again = known->listed_born_ms != worker->born_ms;
+			known->listed_born_ms = worker->born_ms;
 			if (worker->alive &&
-			    (!known->listed ||
+			    (again || !known->listed ||
 				known->draining != worker->draining ||
 				known->room.capacity.cpu_millis !=
 				    worker->listed.cpu_millis))
--- a/tests/sched_world.h
+++ b/tests/sched_world.h
@@ -38,6 +38,7 @@
 	// Interval within which takeovers and other faults happen.
 	int64_t window_ms = 5000;
 	int crashes = 0; // of workers, which come back as a new incarnation
+	bool same_ids = false; // incarnations keep the id and tell their start
 	int cancels = 0;
 	int crashing_jobs = 0; // jobs that crash their workers
 	int shrinks = 0; // of a worker's capacity, which grows again later
@@ -78,6 +79,9 @@
 struct Worker {
 	std::string id;
 	int host; // successive incarnations share it
+	int64_t born_ms = 0; // start that it tells; 0: none
+	int64_t clock_base_ms = 0; // its clock began then
+	int64_t listed_from_ms = 0; // the list has its former life until then
 	struct resources capacity;
 	struct resources listed; // capacity that leaders are told
 	// Until then the checks allow the full capacity.
@@ -171,7 +175,8 @@
 	void NotifyUntilKnown(const std::string &job);
 	bool Chance(double share);
 	void At(int64_t ms, std::function<void()>);
-	void Deliver(double late_share, std::function<void()>);
+	void Deliver(double late_share, const std::string &worker,
+	    std::function<void()>);
 	void AddViolation(const std::string &what, const std::string &about);
 	void TakeOver();
 	void Close(Leader *);
--- a/tests/test_relaywire.cc
+++ b/tests/test_relaywire.cc
@@ -120,7 +120,7 @@
 	    const std::vector<struct poll_running> &rows,
 	    const std::vector<struct poll_finished> &ends = {})
 	{
-		struct poll_result look = { 100, rows.data(), rows.size(),
+		struct poll_result look = { 0, 100, rows.data(), rows.size(),
 			ends.data(), ends.size() };
 		struct relay_answer answer;
 
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -8,7 +8,7 @@
 {
 	struct sched_worker *w = AddWorker("w", 4000);
 	poll_finished done;
-	struct poll_result late = { 0, nullptr, 0, &done, 1 };
+	struct poll_result late = { 0, 0, nullptr, 0, &done, 1 };
 
 	Add(Graph("a", 2, 1000));
 	Fence();
@@ -361,7 +361,7 @@
 TEST_F(Sched, ALateFirstAnswerShortensNoLease)
 {
 	struct sched_worker *w = Inherit("w", RECORD_EXPIRING, 4000);
-	struct poll_result first = { now, nullptr, 0, nullptr, 0 };
+	struct poll_result first = { 0, now, nullptr, 0, nullptr, 0 };
 	int64_t lapses = now + 4000;
 
 	store_slow = true;
@@ -529,7 +529,8 @@
 	while (now < begin + 200000) {
 		sched_act(s, now);
 		int64_t clock = now * 98 / 100;
-		struct poll_result result = { clock, nullptr, 0, nullptr, 0 };
+		struct poll_result result = { 0, clock, nullptr, 0, nullptr,
+			0 };
 		EXPECT_LE(renewed, clock + options.lease_ms);
 		now += 1000;
 		result.clock_ms = now * 98 / 100;
--- a/tests/test_sched_share.cc
+++ b/tests/test_sched_share.cc
@@ -175,7 +175,7 @@
 			    measurement });
 			++it;
 		}
-		struct poll_result result = { now, rows.data(), rows.size(),
+		struct poll_result result = { 0, now, rows.data(), rows.size(),
 			ends.data(), ends.size() };
 		sched_poll_answered(s, w, ANSWER_OK, &result, now);
 	}
@@ -232,7 +232,8 @@
 	}
 	static void
 	OnStop(struct sched *, struct sched_worker *w,
-	    const struct task_name *t, uint32_t attempt, void *ctx)
+	    const struct task_name *t, uint32_t attempt, enum sched_stop_reason,
+	    void *ctx)
 	{
 		Shared *self = Self(ctx);
 
