Failing tests: workers that restart under their ids

Tasks run twice, or their jobs never end, after a worker has crashed and restarted under the id that it had.

--- /dev/null
+++ b/tests/test_sched_life.cc
@@ -0,0 +1,214 @@
+#include "sched_fixture.h"
+
+// Workers that tell their start and restart under the id that they had: they
+// hold nothing of before, and count ends and time anew.
+class SchedLife : public SchedSim {
+      protected:
+	static constexpr int64_t kBorn = 1700000000000;
+
+	struct sched_worker *
+	JoinTelling(const char *id, int64_t cpu, int64_t born = kBorn)
+	{
+		sim[id].born_ms = born;
+		sim[id].clock_base_ms = now - 1;
+		List(id, born);
+		return Join(id, cpu);
+	}
+
+	// The list of workers tells that start.
+	void
+	List(const std::string &id, int64_t born)
+	{
+		sched_worker_get(s, id.c_str())->listed_born_ms = born;
+	}
+
+	// The worker crashes.
+	void
+	GoDown(const std::string &id)
+	{
+		SimWorker &m = sim[id];
+
+		m.reachable = false;
+		m.running.clear();
+		m.ended.clear();
+	}
+
+	// Its next life begins.
+	void
+	ComeBack(const std::string &id, int64_t born, bool listed = true)
+	{
+		SimWorker &m = sim[id];
+
+		m.reachable = true;
+		m.born_ms = born;
+		m.clock_base_ms = now;
+		m.last_end = 0;
+		if (listed)
+			List(id, born);
+	}
+
+	void
+	Restart(const std::string &id, int64_t born, int64_t down_ms = 500)
+	{
+		GoDown(id);
+		Simulate(down_ms);
+		ComeBack(id, born);
+	}
+
+	// Runs short jobs, so that the worker's ends reach that number.
+	void
+	RunShortJobs(uint32_t n)
+	{
+		struct graph *g = Graph("short", n, 100);
+
+		run_ms["short"] = 200;
+		Add(g);
+		Simulate(2000);
+		ASSERT_EQ(StateOf("short"), "completed");
+	}
+
+	std::string
+	StateOf(const char *job)
+	{
+		return sched_job_state_name(sched_job_find(s, job)->state);
+	}
+
+	size_t
+	StartsOf(const char *job) const
+	{
+		size_t n = 0;
+
+		for (auto &o : started)
+			n += strcmp(o.task.job, job) == 0;
+		return n;
+	}
+};
+
+// Guards against a task that is done on a restarted worker and starts again.
+TEST_F(SchedLife, EndsAfterARestartAreListedAndCount)
+{
+	JoinTelling("w", 4000);
+	RunShortJobs(8);
+	Restart("w", kBorn + 7000);
+	Simulate(1000);
+	run_ms["b"] = 300;
+	Add(Graph("b", 3, 1000));
+	Simulate(1500);
+	EXPECT_EQ(StateOf("b"), "completed");
+	EXPECT_EQ(StartsOf("b"), 3u);
+}
+
+// Guards against taking the larger of two starts for the later one.
+TEST_F(SchedLife, ARestartAfterAClockStepBackIsARestart)
+{
+	JoinTelling("w", 4000);
+	RunShortJobs(8);
+	Restart("w", kBorn - 60000);
+	Simulate(1000);
+	run_ms["b"] = 300;
+	Add(Graph("b", 3, 1000));
+	Simulate(1500);
+	EXPECT_EQ(StateOf("b"), "completed");
+	EXPECT_EQ(StartsOf("b"), 3u);
+}
+
+// Guards against waiting for a lease, or for lists, to restart what was lost.
+TEST_F(SchedLife, RunsOfTheFormerLifeAreLostAtTheFirstAnswer)
+{
+	JoinTelling("w", 4000);
+	Add(Graph("a", 2, 1000));
+	Simulate(1500);
+	ASSERT_EQ(started.size(), 2u);
+	Restart("w", kBorn + 7000);
+	Simulate(600);
+	EXPECT_EQ(started.size(), 4u);
+	ASSERT_EQ(lost.size(), 2u);
+	EXPECT_EQ(lost[0].cause, LOSS_OTHER_INCARNATION);
+	EXPECT_EQ(RunningAnywhere(), 2u);
+}
+
+// Guards against leases on the former life's clock.
+TEST_F(SchedLife, LeasesAreGrantedOnThePresentClock)
+{
+	JoinTelling("w", 4000);
+	Simulate(20000);
+	Restart("w", kBorn + 7000);
+	Simulate(300);
+	renewed = 0;
+	Simulate(1500);
+	EXPECT_GT(renewed, 0);
+	EXPECT_LE(renewed, now - sim["w"].clock_base_ms + options.lease_ms);
+}
+
+// Guards against ends of a restarted worker that a poll discards unseen.
+TEST_F(SchedLife, APollAfterALostOneAcknowledgesNothing)
+{
+	struct sched_worker *w = JoinTelling("w", 4000);
+
+	RunShortJobs(8);
+	int polls = 0;
+	GoDown("w");
+	for (int i = 0; i < 20; i++) {
+		Simulate(50);
+		if (w->misses > 0 && w->poll_pending) {
+			EXPECT_EQ(AcknowledgedByPoll(w), 0u);
+			polls++;
+		}
+	}
+	EXPECT_GT(polls, 0);
+}
+
+// Guards against a second run of a task whose start is carried out by the next
+// life, which doesn't know that the former one was told to stop it.
+TEST_F(SchedLife, AStartThatReachesTheNextLifeRunsOnce)
+{
+	JoinTelling("w", 4000);
+	Simulate(1000);
+	sim["w"].start_answer = ANSWER_LOST;
+	run_ms["a"] = 600;
+	Add(Graph("a", 1, 1000));
+	Simulate(100);
+	ASSERT_EQ(started.size(), 1u);
+	ASSERT_EQ(StopsOf(started[0]), 1u);
+	GoDown("w");
+	ComeBack("w", kBorn + 7000);
+	sim["w"].delayed.push_back({ started[0], now + 250 });
+	JoinTelling("x", 4000);
+	for (int i = 0; i < 60; i++) {
+		Simulate(50);
+		EXPECT_LE(RunningAnywhere(), 1u);
+	}
+	EXPECT_EQ(StateOf("a"), "completed");
+}
+
+// Guards against a worker that is back, but taken for gone for good.
+TEST_F(SchedLife, AWorkerThatWasReplacedAtItsAddressComesBack)
+{
+	JoinTelling("w", 4000);
+	Simulate(1000);
+	sim["w"].replaced = true;
+	Simulate(1500);
+	sim["w"].replaced = false;
+	ComeBack("w", kBorn + 7000, false);
+	const struct resources capacity = { 4000, 64000, 0 };
+	List("w", kBorn + 7000);
+	sched_worker_listed(
+	    s, sched_worker_find(s, "w"), &capacity, false, 0, now);
+	Add(Graph("a", 1, 1000));
+	Simulate(2000);
+	EXPECT_EQ(RunningAnywhere(), 1u);
+}
+
+// Guards against a task that crashes its workers and is never given up, as
+// each worker seems to answer again.
+TEST_F(SchedLife, ACrashIsConfirmedByTheNextLife)
+{
+	JoinTelling("w", 4000);
+	Add(Graph("a", 1, 1000));
+	Simulate(1500);
+	Restart("w", kBorn + 7000, 8000); // its lease expires first
+	Simulate(1000);
+	ASSERT_GE(lost.size(), 2u);
+	EXPECT_EQ(lost[0].cause, LOSS_LAPSED);
+	EXPECT_EQ(lost[1].cause, LOSS_CONFIRMED);
+}
