--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -26,20 +26,30 @@
 }
 
 /*
- * Handles what all answers have in common.  Returns false if this leader was
+ * Handles what all answers to orders have in common; life is the serial of the
+ * one that the order was sent to.  Returns false if this leader was
  * replaced or the incarnation of the worker is over; the answer is then not
  * to be handled any further.
  */
 static bool
-accept_answer(struct sched *s, struct sched_worker *worker,
+accept_answer(struct sched *s, struct sched_worker *worker, uint32_t life,
     enum worker_answer answer, int64_t clock_ms, int64_t now_ms)
 {
+	bool present;
+
+	present = life == worker->life.serial;
 	/* The clock in the answer is that of another incarnation. */
 	if (answer == ANSWER_OTHER_INCARNATION) {
-		worker_incarnation_ended(s, worker, now_ms);
+		if (present)
+			worker_incarnation_ended(s, worker, now_ms);
 		return false;
 	}
-	if (answer != ANSWER_LOST && answer != ANSWER_NOT_SENT && clock_ms > 0)
+	/*
+	 * Where lives share an id, the answer to an order doesn't say which of
+	 * them gave it, so its clock may be that of the next one.
+	 */
+	if (present && worker->life.born_ms == 0 && answer != ANSWER_LOST &&
+	    answer != ANSWER_NOT_SENT && clock_ms > 0)
 		worker_note_answer(s, worker, clock_ms, now_ms);
 	if (answer == ANSWER_FENCED) {
 		step_down(s);
@@ -74,12 +84,20 @@
 	stop_gang(s, task->step);
 }
 
+/* A start was not answered: says nothing of a life that came after it. */
+static void
+start_call_failed(struct sched *s, const struct sched_run *run, int64_t now_ms)
+{
+	if (run->life == run->worker->life.serial)
+		worker_call_failed(s, run->worker, now_ms);
+}
+
 static void
 start_unconfirmed(struct sched *s, struct sched_run *run, int64_t now_ms)
 {
 	run->state = RUN_UNCONFIRMED;
 	run->answered_ms = now_ms;
-	worker_call_failed(s, run->worker, now_ms);
+	start_call_failed(s, run, now_ms);
 	/*
 	 * The start request may still be carried out, even after newer ones.
 	 * Once a stop is answered the worker refuses that attempt.
@@ -96,8 +114,12 @@
 {
 	struct sched_run *run;
 
-	if (!accept_answer(s, worker, answer, clock_ms, now_ms))
+	run = run_find(worker, name, attempt);
+	if (!accept_answer(s, worker, run != NULL ? run->life : 0, answer,
+		clock_ms, now_ms) &&
+	    answer != ANSWER_OTHER_INCARNATION)
 		return;
+	/* The end of the present life has settled the run. */
 	run = run_find(worker, name, attempt);
 	if (run == NULL || run->state != RUN_STARTING)
 		return;
@@ -113,11 +135,11 @@
 		start_unconfirmed(s, run, now_ms);
 		break;
 	case ANSWER_NOT_SENT:
-		worker_call_failed(s, worker, now_ms);
+		start_call_failed(s, run, now_ms);
 		start_failed(s, run, 0, now_ms);
 		break;
 	case ANSWER_UNHEALTHY:
-		worker->probe_ms = now_ms + UNHEALTHY_BACKOFF_MS;
+		worker->life.probe_ms = now_ms + UNHEALTHY_BACKOFF_MS;
 		start_failed(s, run, 0, now_ms);
 		break;
 	case ANSWER_REFUSED:
@@ -130,16 +152,19 @@
 }
 
 void
-sched_stop_answered(struct sched *s, struct sched_worker *worker,
+sched_stop_answered(struct sched *s, struct sched_worker *worker, uint32_t life,
     const struct task_name *name, uint32_t attempt, enum worker_answer answer,
     int64_t clock_ms, int64_t now_ms)
 {
 	struct sched_run *run;
 
-	if (!accept_answer(s, worker, answer, clock_ms, now_ms))
+	if (!accept_answer(s, worker, life, answer, clock_ms, now_ms))
 		return;
 	if ((run = run_find(worker, name, attempt)) == NULL)
 		return;
+	/* The present life may not know of the stop; it is sent again. */
+	if (life != worker->life.serial)
+		return;
 	run->stop_pending = false;
 	if (answer == ANSWER_OK) {
 		/*
@@ -172,10 +197,14 @@
 	run->paced_ms = now_ms;
 }
 
-/* Applies the end of a run that is reported for the first time. */
+/*
+ * Applies the end of a run that is reported for the first time; present: by the
+ * present life of the worker.
+ */
 static void
 apply_end(struct sched *s, struct sched_worker *worker,
-    const struct poll_finished *end, struct sched_task *task, int64_t now_ms)
+    const struct poll_finished *end, struct sched_task *task, bool present,
+    int64_t now_ms)
 {
 	struct sched_run *run;
 	bool lasts;
@@ -183,9 +212,9 @@
 	lasts = task->step->spec->lasts;
 	run = run_find(worker, &end->task, end->attempt);
 	task_set_checkpoint(task, end->checkpoint);
-	if (end->how == END_DONE && !lasts)
+	if (present && end->how == END_DONE && !lasts)
 		health_task_done(worker, run, now_ms);
-	if (end->how == END_FAILED)
+	if (present && end->how == END_FAILED)
 		health_task_failed(worker, task_job(task), now_ms);
 	if (run != NULL) {
 		loss_survived(task, run, now_ms);
@@ -194,7 +223,8 @@
 	if (end->how == END_DONE && !lasts)
 		task_done(s, task, now_ms);
 	else if (end->how == END_FAILED) {
-		task->avoid = worker->serial;
+		if (present)
+			task->avoid = worker->life.serial;
 		task_failed(s, task, end->attempt, now_ms);
 	} else if (task->checkpoint != NULL && !task_job(task)->in_ended)
 		job_mark_dirty(s, task_job(task));
@@ -228,7 +258,7 @@
 
 	if ((end = calloc(1, sizeof(*end))) == NULL)
 		return false;
-	worker->processed = number;
+	worker->life.processed = number;
 	end->number = number;
 	/*
 	 * The entry that marks a job as absent may be removed before this end
@@ -236,12 +266,34 @@
 	 */
 	end->job = job->absent ? NULL : job;
 	end->change = job->change;
-	if (STAILQ_EMPTY(&worker->ends))
+	if (STAILQ_EMPTY(&worker->life.ends))
 		LIST_INSERT_HEAD(&s->unsaved, worker, unsaved_link);
-	STAILQ_INSERT_TAIL(&worker->ends, end, link);
+	STAILQ_INSERT_TAIL(&worker->life.ends, end, link);
 	return true;
 }
 
+/* Returns the job of the end; NULL: it isn't known and is looked up. */
+static struct sched_job *
+apply_listed_end(struct sched *s, struct sched_worker *worker,
+    const struct poll_finished *finished, bool present, int64_t now_ms)
+{
+	struct sched_task *task;
+	struct sched_job *job;
+
+	job = sched_job_find(s, finished->task.job);
+	if (job == NULL) {
+		s->opt.actions->unknown(s, finished->task.job, s->opt.ctx);
+		return NULL;
+	}
+	task = job_task(s, &finished->task);
+	if (task == NULL)
+		return job;
+	apply_end(s, worker, finished, task, present, now_ms);
+	if (finished->how == END_DONE && task->step->spec->gang)
+		complete_gang(s, task->step, now_ms);
+	return job;
+}
+
 /*
  * Processes an end from a poll.  Returns false if the worker has to report it
  * and all later ones again.  Later ones are applied nevertheless, as the worker
@@ -253,23 +305,12 @@
 process_end(struct sched *s, struct sched_worker *worker,
     const struct poll_finished *finished, bool acknowledge, int64_t now_ms)
 {
-	struct sched_task *task;
 	struct sched_job *job;
 
-	if (finished->number <= worker->processed)
+	if (finished->number <= worker->life.processed)
 		return true;
-	job = sched_job_find(s, finished->task.job);
-	if (job == NULL) {
-		s->opt.actions->unknown(s, finished->task.job, s->opt.ctx);
-		return false;
-	}
-	task = job_task(s, &finished->task);
-	if (task != NULL) {
-		apply_end(s, worker, finished, task, now_ms);
-		if (finished->how == END_DONE && task->step->spec->gang)
-			complete_gang(s, task->step, now_ms);
-	}
-	return acknowledge &&
+	job = apply_listed_end(s, worker, finished, true, now_ms);
+	return job != NULL && acknowledge &&
 	    queue_acknowledgement(s, worker, finished->number, job);
 }
 
@@ -304,7 +345,7 @@
 		abort(); /* a run not recorded would be started twice */
 	stray->task = row->task;
 	stray->attempt = row->attempt;
-	SLIST_INSERT_HEAD(&worker->strays, stray, link);
+	SLIST_INSERT_HEAD(&worker->life.strays, stray, link);
 }
 
 void
@@ -315,7 +356,7 @@
 	struct sched_task *task;
 
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
-		SLIST_FOREACH (stray, &worker->strays, link) {
+		SLIST_FOREACH (stray, &worker->life.strays, link) {
 			if (strcmp(stray->task.job, job->id) != 0 ||
 			    (task = job_task(s, &stray->task)) == NULL)
 				continue;
@@ -349,7 +390,7 @@
 	 * to name this run.
 	 */
 	add_stray(worker, row);
-	worker->unneeded++;
+	worker->life.unneeded++;
 	s->counts.stops++;
 	s->opt.actions->stop(
 	    s, worker, &row->task, row->attempt, STOP_UNNEEDED, s->opt.ctx);
@@ -372,6 +413,8 @@
 			run->begun_ms = now_ms;
 	}
 	run->listed_ms = now_ms;
+	run->life = worker->life.serial;
+	run->over_ms = 0;
 	job_mark_begun(task_job(run->task));
 	task_set_checkpoint(run->task, row->checkpoint);
 	if (row->percent != run->percent) {
@@ -382,6 +425,17 @@
 	run->measurement_ms = now_ms;
 }
 
+/*
+ * A run that was started for a former life, and that the present one hasn't:
+ * it was lost with the former one, or its start is refused from now on.
+ */
+static bool
+is_over_with_life(const struct sched_run *run)
+{
+	return run->life != run->worker->life.serial &&
+	    (run->state == RUN_RUNNING || run->state == RUN_STOPPING);
+}
+
 /*
  * Settles runs that do not exist at the worker: it lists them neither as
  * running nor as ended, although their start or stop was answered before it
@@ -398,6 +452,10 @@
 		if (run->listed_ms == now_ms ||
 		    run->answered_ms >= worker->poll_sent_ms)
 			continue;
+		if (is_over_with_life(run)) {
+			run_lost(s, run, LOSS_OTHER_INCARNATION, now_ms);
+			continue;
+		}
 		if (run->state == RUN_RUNNING)
 			run_request_stop(s, run, STOP_UNLISTED);
 		if (run->state != RUN_STOPPING)
@@ -412,13 +470,48 @@
 sched_late_ends_reported(struct sched *s, struct sched_worker *worker,
     const struct poll_result *result, int64_t now_ms)
 {
+	const struct poll_finished *end;
 	size_t i;
 
-	for (i = 0; i < result->nfinished; i++)
-		process_end(s, worker, &result->finished[i], false, now_ms);
+	for (i = 0; i < result->nfinished; i++) {
+		end = &result->finished[i];
+		/* The numbers of another life say nothing of this one's. */
+		if (result->born_ms == worker->life.born_ms)
+			process_end(s, worker, end, false, now_ms);
+		else
+			apply_listed_end(s, worker, end, false, now_ms);
+	}
 	worker_schedule(s, worker);
 }
 
+/*
+ * Handles what all answers to polls have in common.  Returns false if there is
+ * no list of the life that the poll was sent to.
+ */
+static bool
+accept_poll(struct sched *s, struct sched_worker *worker,
+    enum worker_answer answer, int64_t now_ms)
+{
+	bool present;
+
+	present = worker->poll_life == worker->life.serial;
+	switch (answer) {
+	case ANSWER_OK:
+		return present;
+	case ANSWER_FENCED:
+		step_down(s);
+		return false;
+	case ANSWER_OTHER_INCARNATION:
+		if (present)
+			worker_incarnation_ended(s, worker, now_ms);
+		return false;
+	default:
+		if (present)
+			worker_call_failed(s, worker, now_ms);
+		return false;
+	}
+}
+
 void
 sched_poll_answered(struct sched *s, struct sched_worker *worker,
     enum worker_answer answer, const struct poll_result *result, int64_t now_ms)
@@ -428,23 +521,17 @@
 
 	worker->poll_pending = false;
 	worker_schedule(s, worker);
-	switch (answer) {
-	case ANSWER_OK:
-		break;
-	case ANSWER_FENCED:
-		step_down(s);
-		return;
-	case ANSWER_OTHER_INCARNATION:
-		worker_incarnation_ended(s, worker, now_ms);
-		return;
-	default:
-		worker_call_failed(s, worker, now_ms);
+	if (!accept_poll(s, worker, answer, now_ms)) {
+		/* The list may be that of a life that is over; ends count. */
+		if (answer == ANSWER_OK)
+			sched_late_ends_reported(s, worker, result, now_ms);
 		return;
 	}
+	life_answered(s, worker, result->born_ms, now_ms);
 	worker_note_answer(s, worker, result->clock_ms, now_ms);
 	worker->next_poll_ms = now_ms;
-	worker->unneeded = 0;
-	worker_drop_strays(worker);
+	worker->life.unneeded = 0;
+	life_drop_strays(worker);
 	complete = true;
 	for (i = 0; i < result->nfinished; i++)
 		complete = process_end(
@@ -456,12 +543,13 @@
 		 * The list is complete, so all runs left there by former
 		 * leaders are known.
 		 */
-		if (!worker->fenced)
+		if (!worker->life.fenced)
 			s->place_wanted = true;
-		worker->fenced = true;
+		worker->life.fenced = true;
 		settle_unlisted(s, worker, now_ms);
 	}
 	share_update(s, worker, now_ms);
-	if (!complete || worker->unneeded > 0 || !SLIST_EMPTY(&worker->strays))
+	if (!complete || worker->life.unneeded > 0 ||
+	    !SLIST_EMPTY(&worker->life.strays))
 		worker->next_poll_ms = now_ms + STRAY_POLL_MS;
 }
--- a/core/sched_headroom.c
+++ b/core/sched_headroom.c
@@ -109,8 +109,9 @@
 	int64_t free_cpu;
 
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
-		if (!worker->listed || worker->draining || worker->dead ||
-		    worker->lapsed || strcmp(worker->service, service) != 0)
+		if (!worker->listed || worker->draining || worker->life.dead ||
+		    worker->life.lapsed ||
+		    strcmp(worker->service, service) != 0)
 			continue;
 		free_cpu = worker->room.capacity.cpu_millis -
 		    worker->room.used.cpu_millis;
--- a/core/sched_inherit.c
+++ b/core/sched_inherit.c
@@ -25,7 +25,7 @@
 	worker->record_may = RECORD_BIT(from->record);
 	worker->record_wanted = from->record;
 	if (from->record == RECORD_EXPIRING)
-		worker->expires_ms = now_ms + from->lease_left_ms;
+		worker->life.expires_ms = now_ms + from->lease_left_ms;
 	if (from->record == RECORD_IN_USE || !from->tasks_known)
 		return;
 	worker->inherited_tasks =
@@ -38,6 +38,15 @@
 	worker->ninherited_tasks = from->ntasks;
 }
 
+void
+inherit_forget(struct sched_worker *worker)
+{
+	worker->inherited = RECORD_NONE;
+	free(worker->inherited_tasks);
+	worker->inherited_tasks = NULL;
+	worker->ninherited_tasks = 0;
+}
+
 bool
 sched_worker_each_task(const struct sched_worker *worker,
     void (*each)(const struct task_name *, void *ctx), void *ctx)
@@ -47,7 +56,7 @@
 	struct task_name name;
 	size_t i;
 
-	if (!worker->fenced) {
+	if (!worker->life.fenced) {
 		for (i = 0; i < worker->ninherited_tasks; i++)
 			each(&worker->inherited_tasks[i], ctx);
 		return worker->inherited_tasks != NULL;
@@ -56,7 +65,7 @@
 		sched_task_name(run->task, &name);
 		each(&name, ctx);
 	}
-	SLIST_FOREACH (stray, &worker->strays, link)
+	SLIST_FOREACH (stray, &worker->life.strays, link)
 		each(&stray->task, ctx);
 	return true;
 }
@@ -64,17 +73,17 @@
 bool
 worker_is_empty(const struct sched_worker *worker)
 {
-	if (!worker->fenced)
+	if (!worker->life.fenced)
 		return worker->inherited_tasks != NULL &&
 		    worker->ninherited_tasks == 0;
-	return TAILQ_EMPTY(&worker->runs) && SLIST_EMPTY(&worker->strays);
+	return TAILQ_EMPTY(&worker->runs) && SLIST_EMPTY(&worker->life.strays);
 }
 
 bool
 sched_worker_settled(const struct sched_worker *worker)
 {
-	return worker->dead || worker->lapsed || worker->fenced ||
-	    worker_is_empty(worker);
+	return worker->life.dead || worker->life.lapsed ||
+	    worker->life.fenced || worker_is_empty(worker);
 }
 
 static uint64_t
@@ -158,8 +167,8 @@
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
 		if (worker->inherited != RECORD_NONE &&
 		    !sched_worker_settled(worker))
-			unsettled +=
-			    XXH64(&worker->serial, sizeof(worker->serial), 1);
+			unsettled += XXH64(&worker->life.serial,
+			    sizeof(worker->life.serial), 1);
 	}
 	if (unsettled == s->unsettled)
 		return;
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -53,6 +53,9 @@
  */
 void run_requeue(
     struct sched *, struct sched_task *, int64_t not_before_ms, int64_t now_ms);
+/* Settles a run that was lost with its worker and queues its task again. */
+void run_lost(
+    struct sched *, struct sched_run *, enum sched_loss, int64_t now_ms);
 /* Sends the stop requests that are due at the worker. */
 void run_step(struct sched *, struct sched_worker *, int64_t now_ms);
 
@@ -69,25 +72,49 @@
 void worker_schedule(struct sched *, struct sched_worker *);
 /* Processes the workers that are due. */
 void worker_run_due(struct sched *, int64_t now_ms);
-void worker_drop_strays(struct sched_worker *);
 void worker_free(struct sched *, struct sched_worker *);
 /* New tasks may be started on the worker. */
 bool worker_usable(const struct sched_worker *, int64_t now_ms);
 /* Advances the acknowledgement past ends whose jobs are saved. */
 void worker_acknowledge(struct sched_worker *);
 
+/* sched_life.c */
+/* Begins a life of which nothing is known. */
+void life_init(struct sched *, struct sched_worker *);
+/* Frees what the present life holds. */
+void life_clear(struct sched_worker *);
+void life_drop_strays(struct sched_worker *);
+/*
+ * Replaces the life by the next one.  Runs that the former life has listed are
+ * lost with it.  Others stay, as their start may have reached the next life.
+ */
+void life_replace(struct sched *, struct sched_worker *, int64_t now_ms);
+/* A poll was answered by a life that tells this start. */
+void life_answered(
+    struct sched *, struct sched_worker *, int64_t born_ms, int64_t now_ms);
+/* The last call was answered, and nothing tells of another life since. */
+bool life_is_proven(const struct sched_worker *);
+/* The entry in the list, with its capacity and labels, is of this life. */
+bool life_is_listed(const struct sched_worker *);
+
 /* sched_crash.c */
 /*
- * Accounts for the crash of a worker and the loss of its runs.  Call before
- * the runs are settled.
+ * Accounts for the crash of a worker and returns the cause of the loss of its
+ * runs.  Call before the runs are settled.
  */
-void crash_worker_lost(
+enum sched_loss crash_worker_lost(
     struct sched *, struct sched_worker *, enum sched_loss, int64_t now_ms);
 /* Accounts for the loss of a worker without runs when it is removed. */
 void crash_idle_worker_lost(struct sched *, const struct sched_worker *);
-/* Confirms or refutes the crash of a worker whose lease had expired. */
-void crash_resolve(struct sched *, const struct sched_worker *, enum sched_loss,
-    int64_t now_ms);
+/*
+ * The worker's present life answers: refutes its crash, if its lease had
+ * expired, and confirms those of former lives under its id.
+ */
+void crash_life_answered(
+    struct sched *, const struct sched_worker *, int64_t now_ms);
+/* The worker's present life is over: confirms its crash. */
+void crash_life_ended(
+    struct sched *, const struct sched_worker *, int64_t now_ms);
 /*
  * The worker is listed: confirms the crash of earlier incarnations at its
  * address.
@@ -150,6 +177,8 @@
 /* sched_inherit.c */
 /* It is known that nothing runs on the worker. */
 bool worker_is_empty(const struct sched_worker *);
+/* What earlier leaders recorded of the worker is over. */
+void inherit_forget(struct sched_worker *);
 /* Recomputes which tasks may run on workers of former leaders. */
 void inherit_update(struct sched *, int64_t now_ms);
 /* The task may be running on a worker that has not answered this leader. */
--- a/core/sched_run.c
+++ b/core/sched_run.c
@@ -59,6 +59,7 @@
 	task->step->image = interference_image(s->interference, spec->image);
 	run->task = task;
 	run->worker = worker;
+	run->life = worker->life.serial;
 	run->attempt = attempt;
 	run->state = RUN_STARTING;
 	run->sent_ms = now_ms;
@@ -140,6 +141,19 @@
 	task_enqueue(s, task, not_before_ms, now_ms);
 }
 
+void
+run_lost(struct sched *s, struct sched_run *run, enum sched_loss cause,
+    int64_t now_ms)
+{
+	struct sched_task *task;
+
+	task = run->task;
+	loss_record(s, run, cause, now_ms);
+	s->counts.lapsed++;
+	run_settle(s, run);
+	run_requeue(s, task, loss_retry_at_ms(s, task, now_ms), now_ms);
+}
+
 void
 run_request_stop(
     struct sched *s, struct sched_run *run, enum sched_stop_reason reason)
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -99,43 +99,23 @@
 		return NULL;
 	strlcpy(worker->id, id, sizeof(worker->id));
 	worker->serial = s->next_serial++;
-	worker->speed = 1;
 	worker->record_may = RECORD_BIT(RECORD_NONE);
 	room_init(&worker->room, &none);
 	TAILQ_INIT(&worker->runs);
-	STAILQ_INIT(&worker->ends);
-	SLIST_INIT(&worker->strays);
+	life_init(s, worker);
 	RB_INSERT(sched_worker_tree, &s->workers, worker);
 	due_insert(s, worker, 0);
 	return worker;
 }
 
-void
-worker_drop_strays(struct sched_worker *worker)
-{
-	struct sched_stray *stray;
-
-	while ((stray = SLIST_FIRST(&worker->strays)) != NULL) {
-		SLIST_REMOVE_HEAD(&worker->strays, link);
-		free(stray);
-	}
-}
-
 void
 worker_free(struct sched *s, struct sched_worker *worker)
 {
-	struct sched_end *end;
 	struct sched_run *run;
 
 	while ((run = TAILQ_FIRST(&worker->runs)) != NULL)
 		run_settle(s, run);
-	worker_drop_strays(worker);
-	if (!STAILQ_EMPTY(&worker->ends))
-		LIST_REMOVE(worker, unsaved_link);
-	while ((end = STAILQ_FIRST(&worker->ends)) != NULL) {
-		STAILQ_REMOVE_HEAD(&worker->ends, link);
-		free(end);
-	}
+	life_clear(worker);
 	due_remove(s, worker);
 	RB_REMOVE(sched_worker_tree, &s->workers, worker);
 	free(worker->inherited_tasks);
@@ -161,6 +141,8 @@
 	    leaves_ms < worker->leaves_ms)
 		worker->leaves_ms = leaves_ms;
 	worker->draining = draining;
+	if (life_is_listed(worker))
+		worker->life.leaving = draining;
 	if (worker->record_wanted == RECORD_NONE && !draining)
 		lease_request_record(s, worker, RECORD_IN_USE);
 	worker_schedule(s, worker);
@@ -204,49 +186,50 @@
 settle_runs(struct sched *s, struct sched_worker *worker, enum sched_loss cause,
     int64_t now_ms)
 {
-	struct sched_task *task;
 	struct sched_run *run;
 	size_t n;
 
-	crash_worker_lost(s, worker, cause, now_ms);
+	cause = crash_worker_lost(s, worker, cause, now_ms);
 	n = 0;
 	while ((run = TAILQ_FIRST(&worker->runs)) != NULL) {
-		task = run->task;
-		s->counts.lapsed++;
+		run_lost(s, run, cause, now_ms);
 		n++;
-		run_settle(s, run);
-		run_requeue(s, task, loss_retry_at_ms(s, task, now_ms), now_ms);
 	}
 	sched_due(s, 0);
 	return n;
 }
 
-/* This incarnation of the worker and all of its runs have ended. */
+/* Another worker answers at the address: this life and its runs are over. */
 void
 worker_incarnation_ended(
     struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
-	worker->dead = true;
-	worker_drop_strays(worker);
+	worker->life.dead = true;
+	life_drop_strays(worker);
 	settle_runs(s, worker, LOSS_OTHER_INCARNATION, now_ms);
-	crash_resolve(s, worker, LOSS_CONFIRMED, now_ms);
+	crash_life_ended(s, worker, now_ms);
+	/* The list may have told of the next life before. */
+	if (worker->life.heard_ms != 0 &&
+	    worker->listed_born_ms != worker->life.born_ms)
+		life_replace(s, worker, now_ms);
 }
 
 static bool
 may_start(const struct sched_worker *worker)
 {
 	return worker->record_may == RECORD_BIT(RECORD_IN_USE) &&
-	    worker->record_wanted == RECORD_IN_USE && worker->misses == 0;
+	    worker->record_wanted == RECORD_IN_USE && worker->life.misses == 0;
 }
 
 bool
 worker_usable(const struct sched_worker *worker, int64_t now_ms)
 {
-	if (!worker->listed || worker->draining || worker->dead ||
-	    !may_start(worker) || !worker->fenced || worker->unneeded > 0 ||
-	    !SLIST_EMPTY(&worker->strays))
+	if (!worker->listed || worker->draining || worker->life.dead ||
+	    !may_start(worker) || !worker->life.fenced ||
+	    worker->life.unneeded > 0 || !SLIST_EMPTY(&worker->life.strays) ||
+	    !life_is_listed(worker))
 		return false;
-	return worker->probe_ms <= now_ms;
+	return worker->life.probe_ms <= now_ms;
 }
 
 /* Acknowledge ends whose jobs are saved, in the worker's order. */
@@ -255,13 +238,13 @@
 {
 	struct sched_end *end;
 
-	while ((end = STAILQ_FIRST(&worker->ends)) != NULL) {
+	while ((end = STAILQ_FIRST(&worker->life.ends)) != NULL) {
 		if (end->job != NULL && end->job->saved < end->change)
 			return;
-		worker->acknowledged = end->number;
-		STAILQ_REMOVE_HEAD(&worker->ends, link);
+		worker->life.acknowledged = end->number;
+		STAILQ_REMOVE_HEAD(&worker->life.ends, link);
 		free(end);
-		if (STAILQ_EMPTY(&worker->ends))
+		if (STAILQ_EMPTY(&worker->life.ends))
 			LIST_REMOVE(worker, unsaved_link);
 	}
 }
@@ -270,27 +253,34 @@
 send_poll(struct sched *s, struct sched_worker *worker, int64_t wait_ms,
     int64_t now_ms)
 {
-	int64_t deadline_ms;
-
-	deadline_ms = lease_renew(s, worker, now_ms);
+	worker->poll_guarded = !life_is_proven(worker);
+	worker->poll_life = worker->life.serial;
+	worker->poll_deadline_ms = lease_renew(s, worker, now_ms);
+	/*
+	 * If the worker has restarted, the number of the former life would
+	 * discard ends of the next one that were never listed.
+	 */
+	worker->poll_acknowledged =
+	    worker->poll_guarded ? 0 : worker->life.acknowledged;
 	worker->poll_pending = true;
 	worker->poll_sent_ms = now_ms;
 	s->counts.polls++;
 	s->opt.actions->poll_worker(
-	    s, worker, deadline_ms, wait_ms, s->opt.ctx);
+	    s, worker, worker->poll_deadline_ms, wait_ms, s->opt.ctx);
 }
 
 /* How long the next poll may wait for an end. */
 static int64_t
 poll_wait_ms(const struct sched_worker *worker)
 {
-	if (!worker->fenced || worker->misses > 0 || worker->unneeded > 0 ||
-	    !SLIST_EMPTY(&worker->strays) || !STAILQ_EMPTY(&worker->ends))
+	if (!worker->life.fenced || worker->life.misses > 0 ||
+	    worker->life.unneeded > 0 || !SLIST_EMPTY(&worker->life.strays) ||
+	    !STAILQ_EMPTY(&worker->life.ends))
 		return 0;
 	if (worker->serving == 0 || worker->filler_cpu == 0)
 		return worker->draining ? POLL_DRAINING_MS : POLL_WAIT_MS;
-	return worker->late_since_ms != 0 ||
-		worker->load_ratio > HIGH_LOAD_RATIO ?
+	return worker->life.late_since_ms != 0 ||
+		worker->life.load_ratio > HIGH_LOAD_RATIO ?
 	    POLL_HIGH_LOAD_MS :
 	    POLL_SHARED_MS;
 }
@@ -302,9 +292,10 @@
 static bool
 can_wait(const struct sched_worker *worker)
 {
-	return worker->fenced && worker->misses == 0 && worker->unneeded == 0 &&
-	    SLIST_EMPTY(&worker->strays) && worker->late_since_ms == 0 &&
-	    worker->load_ratio <= HIGH_LOAD_RATIO && !worker->draining;
+	return worker->life.fenced && worker->life.misses == 0 &&
+	    worker->life.unneeded == 0 && SLIST_EMPTY(&worker->life.strays) &&
+	    worker->life.late_since_ms == 0 &&
+	    worker->life.load_ratio <= HIGH_LOAD_RATIO && !worker->draining;
 }
 
 static void
@@ -312,14 +303,14 @@
 {
 	int64_t due_ms;
 
-	if (worker->poll_pending || worker->dead)
+	if (worker->poll_pending || worker->life.dead)
 		return;
 	due_ms = worker->next_poll_ms;
 	if (s->link_full && can_wait(worker) &&
 	    due_ms < worker->poll_sent_ms + POLL_LINK_FULL_MS)
 		due_ms = worker->poll_sent_ms + POLL_LINK_FULL_MS;
 	/* The worker would answer at once, with the same ends. */
-	if (!STAILQ_EMPTY(&worker->ends) &&
+	if (!STAILQ_EMPTY(&worker->life.ends) &&
 	    due_ms < worker->poll_sent_ms + POLL_UNSAVED_MS)
 		due_ms = worker->poll_sent_ms + POLL_UNSAVED_MS;
 	if (now_ms < due_ms)
@@ -332,9 +323,9 @@
 worker_call_failed(struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
 	worker_schedule(s, worker);
-	if (worker->misses++ == 0)
-		worker->silent_ms = now_ms;
-	worker->next_poll_ms = now_ms + POLL_RETRY_MS * worker->misses;
+	if (worker->life.misses++ == 0)
+		worker->life.silent_ms = now_ms;
+	worker->next_poll_ms = now_ms + POLL_RETRY_MS * worker->life.misses;
 }
 
 static void
@@ -342,29 +333,31 @@
 {
 	int64_t expiry_ms;
 
-	if (worker->lapsed || (worker->misses == 0 && worker->fenced))
+	if (worker->life.lapsed ||
+	    (worker->life.misses == 0 && worker->life.fenced))
 		return;
 	expiry_ms = lease_expiry_ms(s, worker);
 	if (now_ms < expiry_ms) {
 		sched_due(s, expiry_ms);
 		return;
 	}
-	worker->unneeded = 0;
-	worker_drop_strays(worker);
+	worker->life.unneeded = 0;
+	life_drop_strays(worker);
 	s->opt.actions->lapsed(
 	    s, worker, settle_runs(s, worker, LOSS_LAPSED, now_ms), s->opt.ctx);
-	worker->lapsed = true;
+	worker->life.lapsed = true;
 }
 
 static bool
 is_removable(const struct sched_worker *worker, int64_t now_ms)
 {
 	if (worker->listed || worker->poll_pending ||
-	    !TAILQ_EMPTY(&worker->runs) || !STAILQ_EMPTY(&worker->ends))
+	    !TAILQ_EMPTY(&worker->runs) || !STAILQ_EMPTY(&worker->life.ends))
 		return false;
-	return worker->dead || worker->lapsed ||
+	return worker->life.dead || worker->life.lapsed ||
 	    (worker_is_silent(worker, now_ms) && worker_is_empty(worker)) ||
-	    (worker->heard_ms != 0 && now_ms - worker->heard_ms > FORGET_MS);
+	    (worker->life.heard_ms != 0 &&
+		now_ms - worker->life.heard_ms > FORGET_MS);
 }
 
 /* false: the worker was removed. */
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -91,6 +91,7 @@
 	TAILQ_ENTRY(sched_run) by_task;
 	struct sched_task *task;
 	struct sched_worker *worker;
+	uint32_t life; /* serial of the life that the start was sent to */
 	uint32_t attempt;
 	enum sched_run_state state;
 	bool adopted; /* found at its worker, not started in this term */
@@ -103,6 +104,7 @@
 	int64_t answered_ms; /* when the start or the stop was answered */
 	int64_t sent_ms; /* when the start was sent */
 	int64_t begun_ms; /* when it was first known to run */
+	int64_t over_ms; /* when that life was last up, once it is over */
 	int64_t deadline_worker_ms; /* the worker refuses the start after it */
 	int percent; /* progress, as last listed */
 	int64_t percent_ms; /* when percent last rose */
@@ -144,7 +146,7 @@
 	uint64_t losses_change; /* the job's change that saves them */
 	int64_t survived_ms; /* run time of other ended runs, in this term */
 	uint32_t attempt; /* the highest used in this term */
-	uint32_t avoid; /* serial of the worker where it last failed */
+	uint32_t avoid; /* serial of the life where it last failed */
 	uint32_t moves; /* moves for lack of progress, in this term */
 	struct sched_runs runs;
 	int64_t not_before_ms; /* may run elsewhere until then, or backs off */
@@ -267,31 +269,66 @@
 };
 #define RECORD_BIT(record) (1U << (record))
 
+/*
+ * What holds for one life of a worker only.  A worker that restarts may keep
+ * its id, and then holds and knows nothing of before and counts its ends and
+ * its time anew; so all of this is replaced at once (sched_life.c).
+ */
+struct sched_life {
+	uint32_t serial; /* never used for another life or worker */
+	int64_t born_ms; /* its start as it tells it; 0: not told */
+	bool fenced; /* has answered a poll of this term */
+	bool dead; /* certainly over */
+	bool lapsed; /* silent, and the leases of all runs have expired */
+	bool leaving; /* its entry says that it drains */
+	bool doubted; /* the list of workers tells another start */
+	bool former_orders; /* may hold leases granted to the former life */
+	struct sched_strays strays; /* of the last poll */
+	uint32_t unneeded; /* strays that aren't needed */
+	uint32_t misses; /* consecutive calls without an answer */
+	int64_t silent_ms; /* when the first of them was given up */
+	int64_t heard_ms; /* time of the last answer; 0: never */
+	int64_t clock_ms; /* its clock, as of heard_ms */
+	int64_t granted_ms; /* latest lease end sent, on its clock */
+	int64_t expires_ms; /* recorded lease expiry; 0: not known */
+	struct sched_ends ends;
+	uint64_t processed; /* ends up to this number are processed */
+	uint64_t acknowledged; /* ends up to this one are acknowledged */
+	uint32_t failed_row; /* consecutive jobs that failed there */
+	const struct sched_job *failed_job; /* the last; only compared */
+	int64_t probe_ms; /* unused until then, then one task at a time */
+	int64_t isolated_until_ms; /* a suspect task runs there alone */
+	double speed; /* measured over declared run time; 1: normal */
+	int64_t paced_ms; /* when a pace here was last changed */
+	int64_t late_ms; /* when a serving task was last over its target */
+	int64_t late_since_ms; /* a serving task is late since; 0: none */
+	double load_ratio; /* highest load over limit, at the last poll */
+	struct sched_filler_usage usages[SCHED_FILLER_USAGE_MAX];
+	size_t nusages;
+	int64_t usages_ms; /* when they were last updated */
+};
+
 struct sched_worker {
 	RB_ENTRY(sched_worker) by_id;
 	RB_ENTRY(sched_worker) by_due; /* while in_due_tree */
 	LIST_ENTRY(sched_worker) unsaved_link; /* while ends isn't empty */
 	bool in_due_tree;
 	int64_t due_ms; /* when worker_run() is due; 0: at once */
-	char id[SCHED_WORKER_ID_MAX]; /* of one incarnation */
+	char id[SCHED_WORKER_ID_MAX]; /* its lives may share it */
 	char service[GRAPH_NAME_MAX];
 	char address[SCHED_ADDRESS_MAX];
 	char data_center[GRAPH_NAME_MAX];
 	char labels[SCHED_LABELS_MAX][GRAPH_NAME_MAX]; /* kind and rack */
 	size_t nlabels;
-	uint32_t serial; /* never used for another worker */
+	uint32_t serial; /* never used for another record */
 	struct room room;
 	int64_t filler_cpu; /* requested by the fillers here */
 	int64_t serving_cpu; /* reserved by the serving tasks here */
 	uint32_t serving; /* tasks with a tail target here */
 	struct sched_served served[SCHED_SERVED_MAX]; /* their images */
 	size_t nserved;
-	struct sched_filler_usage usages[SCHED_FILLER_USAGE_MAX];
-	size_t nusages;
-	int64_t usages_ms; /* when they were last updated */
 	struct sched_runs runs;
-	struct sched_ends ends;
-	int64_t born_ms; /* start told with its last list of runs; 0: none */
+	struct sched_life life; /* the present one */
 	int64_t listed_born_ms; /* start told by its entry in the list */
 	bool listed;
 	bool in_list; /* the caller's, while it reads the whole list */
@@ -301,33 +338,15 @@
 	enum worker_record inherited; /* as earlier leaders recorded it */
 	struct task_name *inherited_tasks; /* recorded too; NULL: any task */
 	size_t ninherited_tasks;
-	int64_t expires_ms; /* recorded lease expiry; 0: not known */
 	bool draining;
 	int64_t leaves_ms; /* earliest departure while draining; 0: unknown */
-	bool fenced; /* has answered a poll of this term */
-	bool dead; /* this incarnation has certainly ended */
-	bool lapsed; /* silent, and the leases of all runs have expired */
-	struct sched_strays strays; /* of the last poll */
-	uint32_t unneeded; /* strays that aren't needed */
 	bool poll_pending;
 	int64_t poll_sent_ms;
 	int64_t next_poll_ms;
-	uint32_t misses; /* consecutive calls without an answer */
-	int64_t silent_ms; /* when the first of them was given up */
-	int64_t heard_ms; /* time of the last answer; 0: never */
-	int64_t clock_ms; /* its clock, as of heard_ms */
-	int64_t granted_ms; /* latest lease end sent, on its clock */
-	uint64_t processed; /* ends up to this number are processed */
-	uint64_t acknowledged; /* ends up to this one are acknowledged */
-	uint32_t failed_row; /* consecutive jobs that failed there */
-	const struct sched_job *failed_job; /* the last; only compared */
-	int64_t probe_ms; /* unused until then, then one task at a time */
-	int64_t isolated_until_ms; /* a suspect task runs there alone */
-	double speed; /* measured over declared run time; 1: normal */
-	int64_t paced_ms; /* when a pace here was last changed */
-	int64_t late_ms; /* when a serving task was last over its target */
-	int64_t late_since_ms; /* a serving task is late since; 0: none */
-	double load_ratio; /* highest load over limit, at the last poll */
+	uint32_t poll_life; /* serial of the life that the last poll was for */
+	uint64_t poll_acknowledged; /* by the last poll */
+	int64_t poll_deadline_ms; /* granted by the last poll; 0: none */
+	bool poll_guarded; /* the last poll may reach another life */
 };
 RB_HEAD(sched_worker_tree, sched_worker);
 RB_HEAD(sched_due_tree, sched_worker);
@@ -409,8 +428,8 @@
 	    struct sched *, struct sched_run *, int percent, void *ctx);
 	/*
 	 * Request the list of running tasks and of the ends after
-	 * worker->acknowledged.  deadline_worker_ms renews the lease; 0: the
-	 * lease isn't renewed.
+	 * worker->poll_acknowledged.  deadline_worker_ms renews the lease; 0:
+	 * the lease isn't renewed.
 	 */
 	void (*poll_worker)(struct sched *, struct sched_worker *,
 	    int64_t deadline_worker_ms, int64_t wait_ms, void *ctx);
@@ -443,6 +462,7 @@
 	uint64_t term; /* of this leader, the fencing token */
 	int64_t taken_ms; /* when the term began */
 	int64_t lease_ms; /* of running tasks, renewed by polls */
+	int64_t lease_max_ms; /* workers shorten longer ones to this */
 	int64_t former_ms; /* a former leader may act this long into it */
 	int64_t keep_ms; /* how long ended jobs are kept */
 	int64_t wall_offset_ms; /* added to ms since 1970 gives our time */
@@ -458,6 +478,7 @@
 	uint64_t polls;
 	uint64_t failures;
 	uint64_t lapsed;
+	uint64_t restarts; /* of workers under their ids */
 	uint64_t stops;
 	uint64_t paces;
 	uint64_t moves; /* of long-running tasks off draining workers */
@@ -573,6 +594,13 @@
 /* Workers. */
 struct sched_worker *sched_worker_find(struct sched *, const char *id);
 struct sched_worker *sched_worker_get(struct sched *, const char *id);
+/*
+ * The list of workers tells this start of the worker.  Call it before
+ * sched_worker_listed().  Its entry may be that of a life that is over, as a
+ * worker without the store can't replace it, so the next poll decides.
+ */
+void sched_worker_list_life(
+    struct sched *, struct sched_worker *, int64_t born_ms, int64_t now_ms);
 void sched_worker_listed(struct sched *, struct sched_worker *,
     const struct resources *, bool draining, int64_t leaves_ms, int64_t now_ms);
 void sched_worker_unlisted(
@@ -613,7 +641,8 @@
 void sched_start_answered(struct sched *, struct sched_worker *,
     const struct task_name *, uint32_t attempt, enum worker_answer,
     int64_t clock_ms, int64_t now_ms);
-void sched_stop_answered(struct sched *, struct sched_worker *,
+/* life: worker->life.serial when the stop was sent. */
+void sched_stop_answered(struct sched *, struct sched_worker *, uint32_t life,
     const struct task_name *, uint32_t attempt, enum worker_answer,
     int64_t clock_ms, int64_t now_ms);
 void sched_poll_answered(struct sched *, struct sched_worker *,
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -176,6 +176,7 @@
 	options.lease_ms = node->opt.lease_max_ms < LEASE_MS ?
 	    node->opt.lease_max_ms :
 	    LEASE_MS;
+	options.lease_max_ms = node->opt.lease_max_ms;
 	options.former_ms = node->elect.no_former_leader ? 0 : LEAD_FORMER_MS;
 	options.keep_ms = node->opt.keep_ms;
 	options.harm_ms = node->opt.harm_ms;
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -15,6 +15,7 @@
 	char worker[SCHED_WORKER_ID_MAX];
 	struct task_name task;
 	uint32_t attempt;
+	uint32_t life; /* of the worker, when the call was made */
 };
 
 static struct call *
@@ -36,6 +37,7 @@
 	if (task != NULL)
 		call->task = *task;
 	call->attempt = attempt;
+	call->life = worker->life.serial;
 	lead_ref(l);
 	return call;
 }
@@ -131,9 +133,9 @@
 
 	call = ctx;
 	if ((worker = call_worker(call)) != NULL)
-		sched_stop_answered(call->lead->sched, worker, &call->task,
-		    call->attempt, result->answer, result->clock_ms,
-		    clock_now_ms());
+		sched_stop_answered(call->lead->sched, worker, call->life,
+		    &call->task, call->attempt, result->answer,
+		    result->clock_ms, clock_now_ms());
 	call_end(call);
 }
 
@@ -176,8 +178,9 @@
 	    "job=%s step=%u index=%u attempt=%u worker=%s reason=%s "
 	    "processed=%llu acknowledged=%llu",
 	    task->job, task->step, task->index, attempt, worker->id,
-	    stop_reason_name(reason), (unsigned long long)worker->processed,
-	    (unsigned long long)worker->acknowledged);
+	    stop_reason_name(reason),
+	    (unsigned long long)worker->life.processed,
+	    (unsigned long long)worker->life.acknowledged);
 	call = call_new(l, worker, task, attempt);
 	order_init(&order, s, worker, &call->task, attempt);
 	l->workers.stop(l->workers.self, &order, on_stop, call);
@@ -217,8 +220,9 @@
 static long long
 silent_for(const struct sched_worker *worker, int64_t now_ms)
 {
-	return worker->heard_ms != 0 ? (long long)(now_ms - worker->heard_ms) :
-				       -1;
+	return worker->life.heard_ms != 0 ?
+	    (long long)(now_ms - worker->life.heard_ms) :
+	    -1;
 }
 
 /* Logs a worker that stops answering, then ever less often, and its return. */
@@ -228,7 +232,7 @@
 {
 	uint32_t misses;
 
-	misses = worker->misses;
+	misses = worker->life.misses;
 	if (misses_before >= SILENT_MISSES && misses == 0)
 		log_info("worker_answers", "worker=%s missed=%u", worker->id,
 		    misses_before);
@@ -243,24 +247,22 @@
  * before: its clock as expected, and the ends processed and acknowledged.
  */
 static void
-log_start(
-    struct sched_worker *worker, const struct poll_result *poll, int64_t now_ms)
+log_start(const struct sched_worker *worker, const struct poll_result *poll,
+    int64_t now_ms)
 {
-	if (poll == NULL || poll->born_ms == worker->born_ms)
+	if (poll == NULL || poll->born_ms == worker->life.born_ms ||
+	    worker->life.heard_ms == 0)
 		return;
-	if (worker->heard_ms != 0)
-		log_warn("worker_restarted",
-		    "worker=%s born=%lld before=%lld clock=%lld "
-		    "clock_before=%lld processed=%llu acknowledged=%llu "
-		    "tasks=%zu listed=%zu ended=%zu",
-		    worker->id, (long long)poll->born_ms,
-		    (long long)worker->born_ms, (long long)poll->clock_ms,
-		    (long long)(worker->clock_ms + now_ms - worker->heard_ms),
-		    (unsigned long long)worker->processed,
-		    (unsigned long long)worker->acknowledged,
-		    sched_worker_nruns(worker), poll->nrunning,
-		    poll->nfinished);
-	worker->born_ms = poll->born_ms;
+	log_warn("worker_restarted",
+	    "worker=%s born=%lld before=%lld clock=%lld "
+	    "clock_before=%lld processed=%llu acknowledged=%llu "
+	    "tasks=%zu listed=%zu ended=%zu",
+	    worker->id, (long long)poll->born_ms,
+	    (long long)worker->life.born_ms, (long long)poll->clock_ms,
+	    (long long)(worker->life.clock_ms + now_ms - worker->life.heard_ms),
+	    (unsigned long long)worker->life.processed,
+	    (unsigned long long)worker->life.acknowledged,
+	    sched_worker_nruns(worker), poll->nrunning, poll->nfinished);
 }
 
 static void
@@ -274,7 +276,7 @@
 	call = ctx;
 	now_ms = clock_now_ms();
 	if ((worker = call_worker(call)) != NULL) {
-		misses = worker->misses;
+		misses = worker->life.misses;
 		log_start(worker, result->poll, now_ms);
 		sched_poll_answered(call->lead->sched, worker, result->answer,
 		    result->poll, now_ms);
@@ -305,7 +307,7 @@
 	l = ctx;
 	order.worker = worker;
 	order.term = s->opt.term;
-	order.acknowledged = worker->acknowledged;
+	order.acknowledged = worker->poll_acknowledged;
 	order.deadline_ms = deadline_ms;
 	order.wait_ms = wait_ms;
 	l->workers.poll(
--- a/entry/lead_fleet.c
+++ b/entry/lead_fleet.c
@@ -26,7 +26,7 @@
 	if (worker == NULL || !worker->listed)
 		return;
 	log_info("worker_unlisted", "worker=%s silent_ms=%lld", id,
-	    (long long)(now_ms - worker->heard_ms));
+	    (long long)(now_ms - worker->life.heard_ms));
 	sched_worker_unlisted(l->sched, worker, now_ms);
 }
 
@@ -66,7 +66,7 @@
 		log_info("worker_listed_again",
 		    "worker=%s born=%lld before=%lld", info.id,
 		    (long long)info.born_ms, (long long)worker->listed_born_ms);
-	worker->listed_born_ms = info.born_ms;
+	sched_worker_list_life(l->sched, worker, info.born_ms, now_ms);
 	strlcpy(worker->service, info.service, sizeof(worker->service));
 	strlcpy(worker->address, info.address, sizeof(worker->address));
 	strlcpy(
--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -55,6 +55,15 @@
 	    fail "worker $1 refused the fault"
 }
 
+# crash_worker NUMBER DOWN-MS STORE-CUT-MS : restarts it after DOWN-MS; it
+# reaches the store again after STORE-CUT-MS.
+crash_worker()
+{
+	get -f -o /dev/null -d "{\"crash_ms\":$2,\"store_cut_ms\":$3}" \
+	    "http://127.0.0.1:$((base + 39 + $1))/fault" ||
+	    fail "worker $1 refused the crash"
+}
+
 set_room()	# WORKER CPU-MILLIS
 {
 	get -f -o /dev/null -d "{\"cpu_millis\":$2}" \
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -23,6 +23,7 @@
 	enum sched_loss cause;
 	int64_t ran_ms;
 	enum blame blame;
+	uint32_t crashes;
 };
 
 // Runs a scheduler and records its actions.
@@ -38,6 +39,7 @@
 		options.term = 1;
 		options.taken_ms = now;
 		options.lease_ms = 5000;
+		options.lease_max_ms = 6000;
 		options.former_ms = 2000;
 		options.keep_ms = 100000;
 		options.harm_ms = 4000;
@@ -248,6 +250,7 @@
 		loss.cause = lost->cause;
 		loss.ran_ms = lost->ran_ms;
 		loss.blame = lost->blame;
+		loss.crashes = lost->crashes;
 		Self(ctx)->lost.push_back(loss);
 	}
 	static void
@@ -386,7 +389,7 @@
 	static uint64_t
 	AcknowledgedByPoll(const struct sched_worker *w)
 	{
-		return w->acknowledged;
+		return w->poll_acknowledged;
 	}
 
 	static bool
@@ -475,8 +478,8 @@
 			if (SameAttempt(m.delayed[i].order, o))
 				m.delayed.erase(
 				    m.delayed.begin() + static_cast<long>(i));
-		sched_stop_answered(s, Find(o), &o.task, o.attempt,
-		    heard ? ANSWER_OK : ANSWER_LOST, Clock(m), now);
+		sched_stop_answered(s, Find(o), Find(o)->life.serial, &o.task,
+		    o.attempt, heard ? ANSWER_OK : ANSWER_LOST, Clock(m), now);
 	}
 
 	int64_t
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -50,8 +50,8 @@
 OnPoll(struct sched *, struct sched_worker *worker, int64_t deadline,
     int64_t wait_ms, void *ctx)
 {
-	LeaderOf(ctx)->world->Poll(
-	    LeaderOf(ctx), worker->id, deadline, wait_ms, worker->acknowledged);
+	LeaderOf(ctx)->world->Poll(LeaderOf(ctx), worker->id, deadline, wait_ms,
+	    worker->poll_acknowledged);
 }
 
 void
@@ -291,6 +291,7 @@
 	options.term = term_;
 	options.taken_ms = now_ms;
 	options.lease_ms = kLeaseMs;
+	options.lease_max_ms = kHoldMaxMs;
 	options.former_ms = kFormerMs;
 	options.keep_ms = 1000000;
 	options.harm_ms = 4000;
@@ -441,9 +442,11 @@
     uint32_t attempt)
 {
 	uint64_t term = leader->term;
+	uint32_t life =
+	    sched_worker_find(leader->sched, id.c_str())->life.serial;
 	bool answer_lost = Chance(faults_.lost);
 	auto answered = std::make_shared<bool>(false);
-	auto reply = [this, leader, id, task, attempt, answered](
+	auto reply = [this, leader, id, life, task, attempt, answered](
 			 enum worker_answer answer, int64_t clock) {
 		if (*answered || leader->sched == nullptr)
 			return;
@@ -451,7 +454,7 @@
 		struct sched_worker *worker =
 		    sched_worker_find(leader->sched, id.c_str());
 		if (worker != nullptr)
-			sched_stop_answered(leader->sched, worker, &task,
+			sched_stop_answered(leader->sched, worker, life, &task,
 			    attempt, answer, clock, now_ms);
 	};
 
@@ -901,7 +904,8 @@
 			    now_ms < worker->listed_from_ms)
 				continue;
 			bool again = known->listed_born_ms != worker->born_ms;
-			known->listed_born_ms = worker->born_ms;
+			sched_worker_list_life(
+			    s, known, worker->born_ms, now_ms);
 			if (worker->alive &&
 			    (again || !known->listed ||
 				known->draining != worker->draining ||
--- a/tests/test_foreign.cc
+++ b/tests/test_foreign.cc
@@ -137,6 +137,24 @@
 	EXPECT_TRUE(Worker("servers/good", kGood));
 }
 
+TEST_F(Foreign, AStartThatIsNoWholeNumberIsRefused)
+{
+	static const char *const bad[] = { "-1", "0", "1.5", "1e300", "\"8\"",
+		"null", "true", "[]" };
+
+	for (const char *born : bad) {
+		std::string field = std::string("{\"born\":") + born + ",";
+		EXPECT_FALSE(Worker("servers/a", field + (kGood + 1))) << born;
+		EXPECT_FALSE(
+		    ReadReport(field + "\"running\":[],\"finished\":[]}"))
+		    << born;
+	}
+	EXPECT_TRUE(Worker("servers/b",
+	    std::string("{\"born\":1700000000000,") + (kGood + 1)));
+	EXPECT_TRUE(ReadReport(
+	    "{\"born\":1700000000000,\"running\":[],\"finished\":[]}"));
+}
+
 TEST_F(Foreign, AStateOrServiceThatIsNotNamedNamesNoWorker)
 {
 	EXPECT_FALSE(Worker("servers/a", With("\"ready\"", "\"asleep\"")));
--- a/tests/test_relaywire.cc
+++ b/tests/test_relaywire.cc
@@ -28,6 +28,7 @@
 struct Answer {
 	struct relay_answer answer;
 	std::string worker;
+	int64_t born_ms = 0;
 	std::vector<struct poll_running> running;
 	std::vector<std::string> checkpoints;
 	std::vector<struct poll_finished> finished;
@@ -76,6 +77,7 @@
 		if (answer->poll != nullptr) {
 			const struct poll_result *look = answer->poll;
 			got.worker = answer->worker;
+			got.born_ms = look->born_ms;
 			got.running.assign(
 			    look->running, look->running + look->nrunning);
 			for (auto &row : got.running)
@@ -120,8 +122,8 @@
 	    const std::vector<struct poll_running> &rows,
 	    const std::vector<struct poll_finished> &ends = {})
 	{
-		struct poll_result look = { 0, 100, rows.data(), rows.size(),
-			ends.data(), ends.size() };
+		struct poll_result look = { born_ms, 100, rows.data(),
+			rows.size(), ends.data(), ends.size() };
 		struct relay_answer answer;
 
 		memset(&answer, 0, sizeof(answer));
@@ -147,6 +149,7 @@
 		return message.size;
 	}
 
+	int64_t born_ms = 0; // start that the worker tells
 	struct relay_writer writer;
 	struct relay_reader reader;
 	struct running_lists leader, member;
@@ -157,6 +160,23 @@
 
 } // namespace
 
+// Guards against runs of two lives being mixed in a list told as a delta.
+TEST_F(RelayWire, AListOfTheNextLifeIsToldAsItIs)
+{
+	born_ms = 1700000000000;
+	WritePoll(1, 0, { Row(1, "", 10, 5), Row(2, "", 20, 5) });
+	Send();
+	born_ms = 1600000000000;
+	WritePoll(2, 1, { Row(2, "", 3, 5) });
+	Send();
+	ASSERT_EQ(answers.size(), 2u);
+	EXPECT_EQ(answers[0].born_ms, 1700000000000);
+	EXPECT_EQ(answers[1].born_ms, 1600000000000);
+	ASSERT_EQ(answers[1].running.size(), 1u);
+	EXPECT_EQ(answers[1].running[0].task.index, 2u);
+	EXPECT_EQ(answers[1].running[0].percent, 3);
+}
+
 TEST_F(RelayWire, OrdersAreReadAsTheyWereWritten)
 {
 	struct relay_order order;
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -35,6 +35,7 @@
 	ConfirmStarts();
 	ASSERT_EQ(started.size(), 1u);
 	AddWorker("other", 1000);
+	sched_act(s, now);
 	Answer(sched_worker_find(s, "other"));
 	for (int64_t end = now + 2000; now < end; now += 250) {
 		Answer(
@@ -44,8 +45,8 @@
 	ASSERT_EQ(stopped.size(), 1u);
 	EXPECT_LT(now, 10000 + 4000);
 	before = started.size();
-	sched_stop_answered(
-	    s, w, &stopped[0].task, stopped[0].attempt, ANSWER_OK, now, now);
+	sched_stop_answered(s, w, w->life.serial, &stopped[0].task,
+	    stopped[0].attempt, ANSWER_OK, now, now);
 	Answer(w, {}, { End(1, started[0], END_STOPPED) });
 	sched_act(s, now += 10);
 	ASSERT_EQ(started.size(), before + 1);
@@ -168,8 +169,8 @@
 	sched_job_cancel(s, job, now);
 	sched_act(s, now += 10);
 	ASSERT_EQ(stopped.size(), 1u);
-	sched_stop_answered(
-	    s, w, &started[0].task, started[0].attempt, ANSWER_OK, now, now);
+	sched_stop_answered(s, w, w->life.serial, &started[0].task,
+	    started[0].attempt, ANSWER_OK, now, now);
 	sched_worker_listed(s, w, &small, false, 0, now += 10);
 	Add(gang);
 	sched_act(s, now += 60);
@@ -193,8 +194,8 @@
 	now += 10;
 	sched_act(s, now);
 	ASSERT_EQ(stopped.size(), 1u);
-	sched_stop_answered(
-	    s, w, &first.task, first.attempt, ANSWER_OK, now, now);
+	sched_stop_answered(s, w, w->life.serial, &first.task, first.attempt,
+	    ANSWER_OK, now, now);
 	now += 50;
 	sched_act(s, now);
 	EXPECT_EQ(started.size(), 1u);
@@ -436,6 +437,7 @@
 	ASSERT_EQ(started.size(), 4u);
 	Answer(w, RunningRows());
 	AddWorker("other", 16000);
+	sched_act(s, now);
 	Answer(sched_worker_find(s, "other"));
 	sched_worker_listed(s, w, &capacity, true, now + 4000, now);
 	now += 100;
@@ -446,8 +448,8 @@
 	ASSERT_EQ(stopped.size(), 2u);
 	// Their ends are listed, so they start elsewhere.
 	for (auto &o : std::vector<Order>(stopped))
-		sched_stop_answered(
-		    s, w, &o.task, o.attempt, ANSWER_OK, now, now);
+		sched_stop_answered(s, w, w->life.serial, &o.task, o.attempt,
+		    ANSWER_OK, now, now);
 	Answer(w, {},
 	    { End(1, stopped[0], END_STOPPED),
 		End(2, stopped[1], END_STOPPED) });
@@ -476,6 +478,7 @@
 	ASSERT_EQ(started.size(), 2u);
 	Answer(w, RunningRows());
 	AddWorker("other", 1000);
+	sched_act(s, now);
 	Answer(sched_worker_find(s, "other"));
 	sched_worker_listed(s, w, &capacity, true, now + 4000, now);
 	for (int i = 0; i < 40; i++) {
@@ -699,11 +702,11 @@
 	EXPECT_EQ(job->state, JOB_COMPLETED);
 	EXPECT_EQ(sched_job_visible_state(job), JOB_RUNNING);
 	sched_act(s, now += 10);
-	EXPECT_EQ(w->acknowledged, 0u);
+	EXPECT_EQ(w->life.acknowledged, 0u);
 	sched_saved(s, job, job->change, now);
 	sched_act(s, now += 10);
 	EXPECT_EQ(sched_job_visible_state(job), JOB_COMPLETED);
-	EXPECT_EQ(w->acknowledged, 1u);
+	EXPECT_EQ(w->life.acknowledged, 1u);
 }
 
 // Fillers run beside a serving task that is over its target.  The likely cause
--- a/tests/test_sched_life.cc
+++ b/tests/test_sched_life.cc
@@ -19,7 +19,8 @@
 	void
 	List(const std::string &id, int64_t born)
 	{
-		sched_worker_get(s, id.c_str())->listed_born_ms = born;
+		sched_worker_list_life(
+		    s, sched_worker_get(s, id.c_str()), born, now);
 	}
 
 	// The worker crashes.
@@ -116,6 +117,7 @@
 TEST_F(SchedLife, RunsOfTheFormerLifeAreLostAtTheFirstAnswer)
 {
 	JoinTelling("w", 4000);
+	run_ms["a"] = 50000;
 	Add(Graph("a", 2, 1000));
 	Simulate(1500);
 	ASSERT_EQ(started.size(), 2u);
@@ -146,16 +148,11 @@
 	struct sched_worker *w = JoinTelling("w", 4000);
 
 	RunShortJobs(8);
-	int polls = 0;
+	EXPECT_GT(AcknowledgedByPoll(w), 0u);
 	GoDown("w");
-	for (int i = 0; i < 20; i++) {
+	while (w->life.misses < 2)
 		Simulate(50);
-		if (w->misses > 0 && w->poll_pending) {
-			EXPECT_EQ(AcknowledgedByPoll(w), 0u);
-			polls++;
-		}
-	}
-	EXPECT_GT(polls, 0);
+	EXPECT_EQ(AcknowledgedByPoll(w), 0u);
 }
 
 // Guards against a second run of a task whose start is carried out by the next
@@ -204,6 +201,7 @@
 TEST_F(SchedLife, ACrashIsConfirmedByTheNextLife)
 {
 	JoinTelling("w", 4000);
+	run_ms["a"] = 50000;
 	Add(Graph("a", 1, 1000));
 	Simulate(1500);
 	Restart("w", kBorn + 7000, 8000); // its lease expires first
@@ -212,3 +210,97 @@
 	EXPECT_EQ(lost[0].cause, LOSS_LAPSED);
 	EXPECT_EQ(lost[1].cause, LOSS_CONFIRMED);
 }
+
+// Guards against starts by the capacity and labels of the former life, which
+// may have been of another kind.
+TEST_F(SchedLife, NothingStartsUntilTheListTellsThePresentLife)
+{
+	JoinTelling("w", 4000);
+	Simulate(1000);
+	GoDown("w");
+	Simulate(500);
+	ComeBack("w", kBorn + 7000, false);
+	Simulate(1000);
+	Add(Graph("a", 1, 1000));
+	Simulate(1000);
+	EXPECT_EQ(started.size(), 0u);
+	List("w", kBorn + 7000);
+	Simulate(500);
+	EXPECT_EQ(started.size(), 1u);
+}
+
+// Guards against an entry of the former life, which the store still has, being
+// taken for a restart: the worker can't replace it while it is cut off.
+TEST_F(SchedLife, AnOldEntryInTheListIsNoRestart)
+{
+	JoinTelling("w", 4000);
+	Simulate(1000);
+	Restart("w", kBorn + 7000);
+	Simulate(1000);
+	run_ms["a"] = 2000;
+	Add(Graph("a", 2, 1000));
+	Simulate(1000);
+	List("w", kBorn);
+	Simulate(2000);
+	EXPECT_EQ(StartsOf("a"), 2u);
+	EXPECT_EQ(StateOf("a"), "completed");
+}
+
+// Guards against an end of the former life that is told late, after the next
+// life has numbered more ends, and is taken for one that was processed.
+TEST_F(SchedLife, ALateEndOfTheFormerLifeCounts)
+{
+	struct sched_worker *w = JoinTelling("w", 4000);
+
+	run_ms["a"] = 50000;
+	Add(Graph("a", 1, 1000));
+	Simulate(1000);
+	Restart("w", kBorn + 7000);
+	RunShortJobs(8);
+	poll_finished end = End(3, started[0], END_DONE);
+	struct poll_result late = { kBorn, now, nullptr, 0, &end, 1 };
+	sched_late_ends_reported(s, w, &late, now);
+	Simulate(100);
+	EXPECT_EQ(StateOf("a"), "completed");
+	EXPECT_GE(w->life.processed, 8u);
+}
+
+// Guards against the end of the present life by a refusal that an order for
+// the former life met at its old address.
+TEST_F(SchedLife, ARefusalMeantForTheFormerLifeEndsNotThePresentOne)
+{
+	struct sched_worker *w = JoinTelling("w", 4000);
+	const struct task_name task = { "gone", 0, 0, 0 };
+
+	Simulate(1000);
+	uint32_t former = w->life.serial;
+	Restart("w", kBorn + 7000);
+	Simulate(1000);
+	sched_stop_answered(
+	    s, w, former, &task, 1, ANSWER_OTHER_INCARNATION, 0, now);
+	Add(Graph("a", 1, 1000));
+	Simulate(500);
+	EXPECT_EQ(RunningAnywhere(), 1u);
+}
+
+// Guards against blaming a task for the end of a worker that had said that it
+// leaves, and is back under its id.
+TEST_F(SchedLife, AnAnnouncedRestartIsNoCrash)
+{
+	JoinTelling("w", 4000);
+	run_ms["a"] = 50000;
+	Add(Graph("a", 1, 1000));
+	Simulate(1000);
+	ListAsDraining("w", 4000);
+	Simulate(500);
+	GoDown("w");
+	Simulate(500);
+	ComeBack("w", kBorn + 7000);
+	const struct resources capacity = { 4000, 64000, 0 };
+	sched_worker_listed(
+	    s, sched_worker_find(s, "w"), &capacity, false, 0, now);
+	Simulate(500);
+	ASSERT_EQ(lost.size(), 1u);
+	EXPECT_EQ(lost[0].crashes, 0u);
+	EXPECT_EQ(RunningAnywhere(), 1u);
+}
--- a/tests/test_sched_model.cc
+++ b/tests/test_sched_model.cc
@@ -200,6 +200,36 @@
 }
 
 // Guards against starts on a worker whose capacity was reduced.
+// Guards against what a former life said being taken for the present one's.
+TEST(SchedModel, WorkersThatRestartUnderTheirIds)
+{
+	Faults faults;
+
+	faults.lost = 0.05;
+	faults.failing = 0.1;
+	faults.crashes = 14;
+	faults.same_ids = true;
+	ExpectNoViolations(faults);
+}
+
+// The same, while leaders follow each other and orders are carried out late.
+TEST(SchedModel, WorkersThatRestartUnderTheirIdsAmongOtherFaults)
+{
+	Faults faults;
+
+	faults.lost = 0.1;
+	faults.late = 0.05;
+	faults.unsaved = 0.1;
+	faults.takeovers = 3;
+	faults.unreachable = 3;
+	faults.drains = 2;
+	faults.slow_clocks = true;
+	faults.crashes = 14;
+	faults.same_ids = true;
+	faults.window_ms = 10000;
+	ExpectNoViolations(faults);
+}
+
 TEST(SchedModel, RoomsThatShrink)
 {
 	Faults faults;
