--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -26,18 +26,19 @@
 }
 
 /*
- * Handles what all answers to orders have in common; life is the serial of the
- * one that the order was sent to.  Returns false if this leader was
+ * Handles what all answers to orders have in common; incarnation is the serial
+ * of the one that the order was sent to.  Returns false if this leader was
  * replaced or the incarnation of the worker is over; the answer is then not
  * to be handled any further.
  */
 static bool
-accept_answer(struct sched *s, struct sched_worker *worker, uint32_t life,
-    enum worker_answer answer, int64_t clock_ms, int64_t now_ms)
+accept_answer(struct sched *s, struct sched_worker *worker,
+    uint32_t incarnation, enum worker_answer answer, int64_t clock_ms,
+    int64_t now_ms)
 {
 	bool present;
 
-	present = life == worker->life.serial;
+	present = incarnation == worker->inc.serial;
 	/* The clock in the answer is that of another incarnation. */
 	if (answer == ANSWER_OTHER_INCARNATION) {
 		if (present)
@@ -45,10 +46,10 @@
 		return false;
 	}
 	/*
-	 * Where lives share an id, the answer to an order doesn't say which of
-	 * them gave it, so its clock may be that of the next one.
+	 * Where incarnations share an id, the answer to an order doesn't say
+	 * which of them gave it, so its clock may be that of the next one.
 	 */
-	if (present && worker->life.born_ms == 0 && answer != ANSWER_LOST &&
+	if (present && worker->inc.started_ms == 0 && answer != ANSWER_LOST &&
 	    answer != ANSWER_NOT_SENT && clock_ms > 0)
 		worker_note_answer(s, worker, clock_ms, now_ms);
 	if (answer == ANSWER_FENCED) {
@@ -84,11 +85,12 @@
 	stop_gang(s, task->step);
 }
 
-/* A start was not answered: says nothing of a life that came after it. */
+/* A start was not answered: says nothing of an incarnation that came after it.
+ */
 static void
 start_call_failed(struct sched *s, const struct sched_run *run, int64_t now_ms)
 {
-	if (run->life == run->worker->life.serial)
+	if (run->incarnation == run->worker->inc.serial)
 		worker_call_failed(s, run->worker, now_ms);
 }
 
@@ -115,11 +117,11 @@
 	struct sched_run *run;
 
 	run = run_find(worker, name, attempt);
-	if (!accept_answer(s, worker, run != NULL ? run->life : 0, answer,
-		clock_ms, now_ms) &&
+	if (!accept_answer(s, worker, run != NULL ? run->incarnation : 0,
+		answer, clock_ms, now_ms) &&
 	    answer != ANSWER_OTHER_INCARNATION)
 		return;
-	/* The end of the present life has settled the run. */
+	/* The end of the present incarnation has settled the run. */
 	run = run_find(worker, name, attempt);
 	if (run == NULL || run->state != RUN_STARTING)
 		return;
@@ -139,7 +141,7 @@
 		start_failed(s, run, 0, now_ms);
 		break;
 	case ANSWER_UNHEALTHY:
-		worker->life.probe_ms = now_ms + UNHEALTHY_BACKOFF_MS;
+		worker->inc.probe_ms = now_ms + UNHEALTHY_BACKOFF_MS;
 		start_failed(s, run, 0, now_ms);
 		break;
 	case ANSWER_REFUSED:
@@ -152,18 +154,19 @@
 }
 
 void
-sched_stop_answered(struct sched *s, struct sched_worker *worker, uint32_t life,
-    const struct task_name *name, uint32_t attempt, enum worker_answer answer,
-    int64_t clock_ms, int64_t now_ms)
+sched_stop_answered(struct sched *s, struct sched_worker *worker,
+    uint32_t incarnation, const struct task_name *name, uint32_t attempt,
+    enum worker_answer answer, int64_t clock_ms, int64_t now_ms)
 {
 	struct sched_run *run;
 
-	if (!accept_answer(s, worker, life, answer, clock_ms, now_ms))
+	if (!accept_answer(s, worker, incarnation, answer, clock_ms, now_ms))
 		return;
 	if ((run = run_find(worker, name, attempt)) == NULL)
 		return;
-	/* The present life may not know of the stop; it is sent again. */
-	if (life != worker->life.serial)
+	/* The present incarnation may not know of the stop; it is sent again.
+	 */
+	if (incarnation != worker->inc.serial)
 		return;
 	run->stop_pending = false;
 	if (answer == ANSWER_OK) {
@@ -199,7 +202,7 @@
 
 /*
  * Applies the end of a run that is reported for the first time; present: by the
- * present life of the worker.
+ * present incarnation of the worker.
  */
 static void
 apply_end(struct sched *s, struct sched_worker *worker,
@@ -224,7 +227,7 @@
 		task_done(s, task, now_ms);
 	else if (end->how == END_FAILED) {
 		if (present)
-			task->avoid = worker->life.serial;
+			task->avoid = worker->inc.serial;
 		task_failed(s, task, end->attempt, now_ms);
 	} else if (task->checkpoint != NULL && !task_job(task)->in_ended)
 		job_mark_dirty(s, task_job(task));
@@ -258,7 +261,7 @@
 
 	if ((end = calloc(1, sizeof(*end))) == NULL)
 		return false;
-	worker->life.processed = number;
+	worker->inc.processed = number;
 	end->number = number;
 	/*
 	 * The entry that marks a job as absent may be removed before this end
@@ -266,9 +269,9 @@
 	 */
 	end->job = job->absent ? NULL : job;
 	end->change = job->change;
-	if (STAILQ_EMPTY(&worker->life.ends))
+	if (STAILQ_EMPTY(&worker->inc.ends))
 		LIST_INSERT_HEAD(&s->unsaved, worker, unsaved_link);
-	STAILQ_INSERT_TAIL(&worker->life.ends, end, link);
+	STAILQ_INSERT_TAIL(&worker->inc.ends, end, link);
 	return true;
 }
 
@@ -307,7 +310,7 @@
 {
 	struct sched_job *job;
 
-	if (finished->number <= worker->life.processed)
+	if (finished->number <= worker->inc.processed)
 		return true;
 	job = apply_listed_end(s, worker, finished, true, now_ms);
 	return job != NULL && acknowledge &&
@@ -345,7 +348,7 @@
 		abort(); /* a run not recorded would be started twice */
 	stray->task = row->task;
 	stray->attempt = row->attempt;
-	SLIST_INSERT_HEAD(&worker->life.strays, stray, link);
+	SLIST_INSERT_HEAD(&worker->inc.strays, stray, link);
 }
 
 void
@@ -356,7 +359,7 @@
 	struct sched_task *task;
 
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
-		SLIST_FOREACH (stray, &worker->life.strays, link) {
+		SLIST_FOREACH (stray, &worker->inc.strays, link) {
 			if (strcmp(stray->task.job, job->id) != 0 ||
 			    (task = job_task(s, &stray->task)) == NULL)
 				continue;
@@ -390,7 +393,7 @@
 	 * to name this run.
 	 */
 	add_stray(worker, row);
-	worker->life.unneeded++;
+	worker->inc.unneeded++;
 	s->counts.stops++;
 	s->opt.actions->stop(
 	    s, worker, &row->task, row->attempt, STOP_UNNEEDED, s->opt.ctx);
@@ -413,7 +416,7 @@
 			run->begun_ms = now_ms;
 	}
 	run->listed_ms = now_ms;
-	run->life = worker->life.serial;
+	run->incarnation = worker->inc.serial;
 	run->over_ms = 0;
 	job_mark_begun(task_job(run->task));
 	task_set_checkpoint(run->task, row->checkpoint);
@@ -426,13 +429,13 @@
 }
 
 /*
- * A run that was started for a former life, and that the present one hasn't:
- * it was lost with the former one, or its start is refused from now on.
+ * A run that was started for a former incarnation, and that the present one
+ * hasn't: it was lost with the former one, or its start is refused from now on.
  */
 static bool
-is_over_with_life(const struct sched_run *run)
+is_over_with_former(const struct sched_run *run)
 {
-	return run->life != run->worker->life.serial &&
+	return run->incarnation != run->worker->inc.serial &&
 	    (run->state == RUN_RUNNING || run->state == RUN_STOPPING);
 }
 
@@ -452,7 +455,7 @@
 		if (run->listed_ms == now_ms ||
 		    run->answered_ms >= worker->poll_sent_ms)
 			continue;
-		if (is_over_with_life(run)) {
+		if (is_over_with_former(run)) {
 			run_lost(s, run, LOSS_OTHER_INCARNATION, now_ms);
 			continue;
 		}
@@ -475,8 +478,9 @@
 
 	for (i = 0; i < result->nfinished; i++) {
 		end = &result->finished[i];
-		/* The numbers of another life say nothing of this one's. */
-		if (result->born_ms == worker->life.born_ms)
+		/* The numbers of another incarnation say nothing of this one's.
+		 */
+		if (result->started_ms == worker->inc.started_ms)
 			process_end(s, worker, end, false, now_ms);
 		else
 			apply_listed_end(s, worker, end, false, now_ms);
@@ -486,7 +490,7 @@
 
 /*
  * Handles what all answers to polls have in common.  Returns false if there is
- * no list of the life that the poll was sent to.
+ * no list of the incarnation that the poll was sent to.
  */
 static bool
 accept_poll(struct sched *s, struct sched_worker *worker,
@@ -494,7 +498,7 @@
 {
 	bool present;
 
-	present = worker->poll_life == worker->life.serial;
+	present = worker->poll_incarnation == worker->inc.serial;
 	switch (answer) {
 	case ANSWER_OK:
 		return present;
@@ -522,16 +526,17 @@
 	worker->poll_pending = false;
 	worker_schedule(s, worker);
 	if (!accept_poll(s, worker, answer, now_ms)) {
-		/* The list may be that of a life that is over; ends count. */
+		/* The list may be that of an incarnation that is over; ends
+		 * count. */
 		if (answer == ANSWER_OK)
 			sched_late_ends_reported(s, worker, result, now_ms);
 		return;
 	}
-	life_answered(s, worker, result->born_ms, now_ms);
+	incarnation_answered(s, worker, result->started_ms, now_ms);
 	worker_note_answer(s, worker, result->clock_ms, now_ms);
 	worker->next_poll_ms = now_ms;
-	worker->life.unneeded = 0;
-	life_drop_strays(worker);
+	worker->inc.unneeded = 0;
+	incarnation_drop_strays(worker);
 	complete = true;
 	for (i = 0; i < result->nfinished; i++)
 		complete = process_end(
@@ -543,13 +548,13 @@
 		 * The list is complete, so all runs left there by former
 		 * leaders are known.
 		 */
-		if (!worker->life.fenced)
+		if (!worker->inc.fenced)
 			s->place_wanted = true;
-		worker->life.fenced = true;
+		worker->inc.fenced = true;
 		settle_unlisted(s, worker, now_ms);
 	}
 	share_update(s, worker, now_ms);
-	if (!complete || worker->life.unneeded > 0 ||
-	    !SLIST_EMPTY(&worker->life.strays))
+	if (!complete || worker->inc.unneeded > 0 ||
+	    !SLIST_EMPTY(&worker->inc.strays))
 		worker->next_poll_ms = now_ms + STRAY_POLL_MS;
 }
--- a/core/sched_crash.c
+++ b/core/sched_crash.c
@@ -28,7 +28,7 @@
 struct sched_lost_incarnation {
 	LIST_ENTRY(sched_lost_incarnation) link;
 	char id[SCHED_WORKER_ID_MAX];
-	int64_t born_ms;
+	int64_t started_ms;
 	char address[SCHED_ADDRESS_MAX];
 	uint32_t serial;
 	int64_t at_ms;
@@ -49,9 +49,9 @@
 	if (inc == NULL)
 		return;
 	strlcpy(inc->id, worker->id, sizeof(inc->id));
-	inc->born_ms = worker->life.born_ms;
+	inc->started_ms = worker->inc.started_ms;
 	strlcpy(inc->address, worker->address, sizeof(inc->address));
-	inc->serial = worker->life.serial;
+	inc->serial = worker->inc.serial;
 	inc->at_ms = now_ms;
 	TAILQ_FOREACH (run, &worker->runs, by_worker) {
 		sched_task_name(run->task, &inc->runs[inc->nruns].task);
@@ -67,7 +67,7 @@
 	struct sched_worker *other;
 
 	RB_FOREACH (other, sched_worker_tree, &s->workers) {
-		if (other->life.serial > worker->life.serial && other->listed &&
+		if (other->inc.serial > worker->inc.serial && other->listed &&
 		    worker->address[0] != '\0' &&
 		    strcmp(other->address, worker->address) == 0)
 			return true;
@@ -86,14 +86,14 @@
 static bool
 left_unannounced(const struct sched_worker *worker)
 {
-	return worker->life.fenced && !worker->life.leaving;
+	return worker->inc.fenced && !worker->inc.leaving;
 }
 
 void
 crash_idle_worker_lost(struct sched *s, const struct sched_worker *worker)
 {
-	if (left_unannounced(worker) && !worker->life.dead &&
-	    !worker->life.lapsed)
+	if (left_unannounced(worker) && !worker->inc.dead &&
+	    !worker->inc.lapsed)
 		blame_add_crash(&s->crash_rate);
 }
 
@@ -101,7 +101,7 @@
 crash_worker_lost(struct sched *s, struct sched_worker *worker,
     enum sched_loss cause, int64_t now_ms)
 {
-	if (left_unannounced(worker) && !worker->life.lapsed) {
+	if (left_unannounced(worker) && !worker->inc.lapsed) {
 		blame_add_crash(&s->crash_rate);
 		if (cause == LOSS_LAPSED && is_replaced(s, worker))
 			cause = LOSS_CONFIRMED;
@@ -126,7 +126,7 @@
 }
 
 void
-crash_life_answered(
+crash_incarnation_answered(
     struct sched *s, const struct sched_worker *worker, int64_t now_ms)
 {
 	struct sched_lost_incarnation *inc, *next;
@@ -135,7 +135,7 @@
 		next = LIST_NEXT(inc, link);
 		if (strcmp(inc->id, worker->id) == 0)
 			resolve_incarnation(s, inc,
-			    inc->born_ms == worker->life.born_ms ?
+			    inc->started_ms == worker->inc.started_ms ?
 				LOSS_REFUTED :
 				LOSS_CONFIRMED,
 			    now_ms);
@@ -143,25 +143,25 @@
 }
 
 void
-crash_life_ended(
+crash_incarnation_ended(
     struct sched *s, const struct sched_worker *worker, int64_t now_ms)
 {
 	struct sched_lost_incarnation *inc, *next;
 
 	for (inc = LIST_FIRST(&s->lost_incarnations); inc != NULL; inc = next) {
 		next = LIST_NEXT(inc, link);
-		if (inc->serial == worker->life.serial)
+		if (inc->serial == worker->inc.serial)
 			resolve_incarnation(s, inc, LOSS_CONFIRMED, now_ms);
 	}
 }
 
 /* The worker is listed again: it was cut off, and has not crashed. */
 static bool
-is_same_life(
+is_same_incarnation(
     const struct sched_lost_incarnation *inc, const struct sched_worker *worker)
 {
 	return strcmp(inc->id, worker->id) == 0 &&
-	    inc->born_ms == worker->listed_born_ms;
+	    inc->started_ms == worker->listed_start_ms;
 }
 
 void
@@ -172,8 +172,8 @@
 
 	for (inc = LIST_FIRST(&s->lost_incarnations); inc != NULL; inc = next) {
 		next = LIST_NEXT(inc, link);
-		if (worker->life.serial > inc->serial &&
-		    !is_same_life(inc, worker) &&
+		if (worker->inc.serial > inc->serial &&
+		    !is_same_incarnation(inc, worker) &&
 		    strcmp(inc->address, worker->address) == 0 &&
 		    inc->address[0] != '\0')
 			resolve_incarnation(s, inc, LOSS_CONFIRMED, now_ms);
@@ -188,8 +188,8 @@
 
 	n = 0;
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
-		if (worker->listed && worker->life.fenced &&
-		    !worker->life.dead && !worker->life.lapsed)
+		if (worker->listed && worker->inc.fenced && !worker->inc.dead &&
+		    !worker->inc.lapsed)
 			n++;
 	}
 	return n;
--- a/core/sched_drain.c
+++ b/core/sched_drain.c
@@ -41,8 +41,8 @@
 static bool
 is_draining(const struct sched_worker *worker)
 {
-	return worker->draining && worker->listed && worker->life.fenced &&
-	    worker->life.misses == 0;
+	return worker->draining && worker->listed && worker->inc.fenced &&
+	    worker->inc.misses == 0;
 }
 
 static bool
--- a/core/sched_headroom.c
+++ b/core/sched_headroom.c
@@ -109,9 +109,8 @@
 	int64_t free_cpu;
 
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
-		if (!worker->listed || worker->draining || worker->life.dead ||
-		    worker->life.lapsed ||
-		    strcmp(worker->service, service) != 0)
+		if (!worker->listed || worker->draining || worker->inc.dead ||
+		    worker->inc.lapsed || strcmp(worker->service, service) != 0)
 			continue;
 		free_cpu = worker->room.capacity.cpu_millis -
 		    worker->room.used.cpu_millis;
--- a/core/sched_health.c
+++ b/core/sched_health.c
@@ -42,17 +42,17 @@
 	queue = task_job(run->task)->queue;
 	ratio = (double)(now_ms - run->begun_ms) / (double)spec->estimate_ms;
 	queue->run_ratio += QUEUE_RATIO_WEIGHT * (ratio - queue->run_ratio);
-	worker->life.speed += WORKER_SPEED_WEIGHT *
-	    (ratio / queue->run_ratio - worker->life.speed);
+	worker->inc.speed += WORKER_SPEED_WEIGHT *
+	    (ratio / queue->run_ratio - worker->inc.speed);
 }
 
 void
 health_task_done(
     struct sched_worker *worker, const struct sched_run *run, int64_t now_ms)
 {
-	worker->life.failed_row = 0;
-	worker->life.failed_job = NULL;
-	worker->life.probe_ms = 0;
+	worker->inc.failed_row = 0;
+	worker->inc.failed_job = NULL;
+	worker->inc.probe_ms = 0;
 	if (run != NULL)
 		update_speed(worker, run, now_ms);
 }
@@ -63,24 +63,24 @@
 {
 	uint32_t shift;
 
-	if (worker->life.failed_job == job)
+	if (worker->inc.failed_job == job)
 		return;
-	worker->life.failed_job = job;
-	worker->life.failed_row++;
-	if (worker->life.failed_row < FAILED_JOBS_MAX)
+	worker->inc.failed_job = job;
+	worker->inc.failed_row++;
+	if (worker->inc.failed_row < FAILED_JOBS_MAX)
 		return;
-	shift = worker->life.failed_row - FAILED_JOBS_MAX;
+	shift = worker->inc.failed_row - FAILED_JOBS_MAX;
 	if (shift > PROBE_MAX_SHIFT)
 		shift = PROBE_MAX_SHIFT;
-	worker->life.probe_ms = now_ms + (PROBE_FIRST_MS << shift);
+	worker->inc.probe_ms = now_ms + (PROBE_FIRST_MS << shift);
 }
 
 /* Pauses further starts on a worker under probe after one was placed. */
 void
 health_task_placed(struct sched_worker *worker, int64_t now_ms)
 {
-	if (worker->life.failed_row >= FAILED_JOBS_MAX)
-		worker->life.probe_ms = now_ms + PROBE_FIRST_MS;
+	if (worker->inc.failed_row >= FAILED_JOBS_MAX)
+		worker->inc.probe_ms = now_ms + PROBE_FIRST_MS;
 }
 
 /*
@@ -120,7 +120,7 @@
 			share_resend_pace(s, run, now_ms);
 			continue;
 		}
-		run->task->avoid = worker->life.serial;
+		run->task->avoid = worker->inc.serial;
 		health_task_failed(worker, task_job(run->task), now_ms);
 		run_request_stop(s, run, STOP_STALLED);
 	}
--- a/core/sched_inherit.c
+++ b/core/sched_inherit.c
@@ -25,7 +25,7 @@
 	worker->record_may = RECORD_BIT(from->record);
 	worker->record_wanted = from->record;
 	if (from->record == RECORD_EXPIRING)
-		worker->life.expires_ms = now_ms + from->lease_left_ms;
+		worker->inc.expires_ms = now_ms + from->lease_left_ms;
 	if (from->record == RECORD_IN_USE || !from->tasks_known)
 		return;
 	worker->inherited_tasks =
@@ -56,7 +56,7 @@
 	struct task_name name;
 	size_t i;
 
-	if (!worker->life.fenced) {
+	if (!worker->inc.fenced) {
 		for (i = 0; i < worker->ninherited_tasks; i++)
 			each(&worker->inherited_tasks[i], ctx);
 		return worker->inherited_tasks != NULL;
@@ -65,7 +65,7 @@
 		sched_task_name(run->task, &name);
 		each(&name, ctx);
 	}
-	SLIST_FOREACH (stray, &worker->life.strays, link)
+	SLIST_FOREACH (stray, &worker->inc.strays, link)
 		each(&stray->task, ctx);
 	return true;
 }
@@ -73,17 +73,17 @@
 bool
 worker_is_empty(const struct sched_worker *worker)
 {
-	if (!worker->life.fenced)
+	if (!worker->inc.fenced)
 		return worker->inherited_tasks != NULL &&
 		    worker->ninherited_tasks == 0;
-	return TAILQ_EMPTY(&worker->runs) && SLIST_EMPTY(&worker->life.strays);
+	return TAILQ_EMPTY(&worker->runs) && SLIST_EMPTY(&worker->inc.strays);
 }
 
 bool
 sched_worker_settled(const struct sched_worker *worker)
 {
-	return worker->life.dead || worker->life.lapsed ||
-	    worker->life.fenced || worker_is_empty(worker);
+	return worker->inc.dead || worker->inc.lapsed || worker->inc.fenced ||
+	    worker_is_empty(worker);
 }
 
 static uint64_t
@@ -167,8 +167,8 @@
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
 		if (worker->inherited != RECORD_NONE &&
 		    !sched_worker_settled(worker))
-			unsettled += XXH64(&worker->life.serial,
-			    sizeof(worker->life.serial), 1);
+			unsettled += XXH64(
+			    &worker->inc.serial, sizeof(worker->inc.serial), 1);
 	}
 	if (unsettled == s->unsettled)
 		return;
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -78,24 +78,27 @@
 /* Advances the acknowledgement past ends whose jobs are saved. */
 void worker_acknowledge(struct sched_worker *);
 
-/* sched_life.c */
-/* Begins a life of which nothing is known. */
-void life_init(struct sched *, struct sched_worker *);
-/* Frees what the present life holds. */
-void life_clear(struct sched_worker *);
-void life_drop_strays(struct sched_worker *);
+/* sched_incarnation.c */
+/* Begins an incarnation of which nothing is known. */
+void incarnation_init(struct sched *, struct sched_worker *);
+/* Frees what the present incarnation holds. */
+void incarnation_clear(struct sched_worker *);
+void incarnation_drop_strays(struct sched_worker *);
 /*
- * Replaces the life by the next one.  Runs that the former life has listed are
- * lost with it.  Others stay, as their start may have reached the next life.
+ * Replaces the incarnation by the next one.  Runs that the former incarnation
+ * has listed are lost with it.  Others stay, as their start may have reached
+ * the next incarnation.
  */
-void life_replace(struct sched *, struct sched_worker *, int64_t now_ms);
-/* A poll was answered by a life that tells this start. */
-void life_answered(
-    struct sched *, struct sched_worker *, int64_t born_ms, int64_t now_ms);
-/* The last call was answered, and nothing tells of another life since. */
-bool life_is_proven(const struct sched_worker *);
-/* The entry in the list, with its capacity and labels, is of this life. */
-bool life_is_listed(const struct sched_worker *);
+void incarnation_replace(struct sched *, struct sched_worker *, int64_t now_ms);
+/* A poll was answered by an incarnation that tells this start. */
+void incarnation_answered(
+    struct sched *, struct sched_worker *, int64_t started_ms, int64_t now_ms);
+/* The last call was answered, and nothing tells of another incarnation since.
+ */
+bool incarnation_is_proven(const struct sched_worker *);
+/* The entry in the list, with its capacity and labels, is of this incarnation.
+ */
+bool incarnation_is_listed(const struct sched_worker *);
 
 /* sched_crash.c */
 /*
@@ -107,13 +110,13 @@
 /* Accounts for the loss of a worker without runs when it is removed. */
 void crash_idle_worker_lost(struct sched *, const struct sched_worker *);
 /*
- * The worker's present life answers: refutes its crash, if its lease had
- * expired, and confirms those of former lives under its id.
+ * The worker's present incarnation answers: refutes its crash, if its lease had
+ * expired, and confirms those of former incarnations under its id.
  */
-void crash_life_answered(
+void crash_incarnation_answered(
     struct sched *, const struct sched_worker *, int64_t now_ms);
-/* The worker's present life is over: confirms its crash. */
-void crash_life_ended(
+/* The worker's present incarnation is over: confirms its crash. */
+void crash_incarnation_ended(
     struct sched *, const struct sched_worker *, int64_t now_ms);
 /*
  * The worker is listed: confirms the crash of earlier incarnations at its
--- a/core/sched_lease.c
+++ b/core/sched_lease.c
@@ -39,9 +39,9 @@
  * Bounds the leases granted by former leaders at the first answer of a worker.
  * The worker has then seen our term and accepts no renewal from a former
  * leader; before that, one may have renewed by a whole lease.  The worker read
- * its clock no earlier than the poll was sent.  Orders for its former life
- * named times on another clock, so their leases may be as long as the worker
- * allows.
+ * its clock no earlier than the poll was sent.  Orders for its former
+ * incarnation named times on another clock, so their leases may be as long as
+ * the worker allows.
  */
 static void
 init_granted(
@@ -50,30 +50,30 @@
 	int64_t left_ms;
 
 	left_ms = s->opt.lease_ms;
-	if (worker->life.former_orders && left_ms < s->opt.lease_max_ms)
+	if (worker->inc.former_orders && left_ms < s->opt.lease_max_ms)
 		left_ms = s->opt.lease_max_ms;
-	if (worker->life.expires_ms != 0)
-		left_ms = worker->life.expires_ms - worker->poll_sent_ms;
-	if (worker->life.granted_ms < clock_ms + left_ms)
-		worker->life.granted_ms = clock_ms + left_ms;
+	if (worker->inc.expires_ms != 0)
+		left_ms = worker->inc.expires_ms - worker->poll_sent_ms;
+	if (worker->inc.granted_ms < clock_ms + left_ms)
+		worker->inc.granted_ms = clock_ms + left_ms;
 }
 
 void
 worker_note_answer(struct sched *s, struct sched_worker *worker,
     int64_t clock_ms, int64_t now_ms)
 {
-	if (worker->life.heard_ms == 0)
+	if (worker->inc.heard_ms == 0)
 		init_granted(s, worker, clock_ms);
-	worker->life.misses = 0;
-	if (worker->life.lapsed || worker->life.heard_ms == 0)
-		crash_life_answered(s, worker, now_ms);
-	worker->life.lapsed = false;
+	worker->inc.misses = 0;
+	if (worker->inc.lapsed || worker->inc.heard_ms == 0)
+		crash_incarnation_answered(s, worker, now_ms);
+	worker->inc.lapsed = false;
 	/* An answer overtaken by later ones carries an older clock reading. */
-	if (worker->life.heard_ms != 0 &&
+	if (worker->inc.heard_ms != 0 &&
 	    clock_ms < worker_clock(worker, now_ms))
 		return;
-	worker->life.heard_ms = now_ms;
-	worker->life.clock_ms = clock_ms;
+	worker->inc.heard_ms = now_ms;
+	worker->inc.clock_ms = clock_ms;
 }
 
 /*
@@ -83,8 +83,8 @@
 int64_t
 worker_clock(const struct sched_worker *worker, int64_t now_ms)
 {
-	return worker->life.clock_ms +
-	    (int64_t)((double)(now_ms - worker->life.heard_ms) /
+	return worker->inc.clock_ms +
+	    (int64_t)((double)(now_ms - worker->inc.heard_ms) /
 		CLOCK_SLOW_FACTOR);
 }
 
@@ -93,10 +93,10 @@
 {
 	int64_t left;
 
-	left = worker_ms - worker->life.clock_ms;
+	left = worker_ms - worker->inc.clock_ms;
 	if (left < 0)
 		left = 0;
-	return worker->life.heard_ms +
+	return worker->inc.heard_ms +
 	    (int64_t)((double)left * CLOCK_SLOW_FACTOR) + EXPIRY_MARGIN_MS;
 }
 
@@ -120,11 +120,10 @@
 int64_t
 lease_expiry_ms(const struct sched *s, const struct sched_worker *worker)
 {
-	if (worker->life.heard_ms != 0)
-		return worker_deadline_local_ms(
-		    worker, worker->life.granted_ms);
-	if (worker->life.expires_ms != 0)
-		return worker->life.expires_ms;
+	if (worker->inc.heard_ms != 0)
+		return worker_deadline_local_ms(worker, worker->inc.granted_ms);
+	if (worker->inc.expires_ms != 0)
+		return worker->inc.expires_ms;
 	return lease_former_expiry_ms(s);
 }
 
@@ -134,7 +133,7 @@
 {
 	int64_t left_ms;
 
-	if (worker->life.dead || worker->life.lapsed || worker_is_empty(worker))
+	if (worker->inc.dead || worker->inc.lapsed || worker_is_empty(worker))
 		return 0;
 	left_ms = lease_expiry_ms(s, worker) - now_ms;
 	return left_ms > 0 ? left_ms : 0;
@@ -145,7 +144,8 @@
 may_renew(const struct sched_worker *worker)
 {
 	return (worker->record_may & RECORD_BIT(RECORD_EXPIRING)) == 0 &&
-	    worker->record_wanted != RECORD_EXPIRING && life_is_proven(worker);
+	    worker->record_wanted != RECORD_EXPIRING &&
+	    incarnation_is_proven(worker);
 }
 
 /* Upper bound of the worker's clock at its leave time, or now if later. */
@@ -155,7 +155,7 @@
 	int64_t leaves_ms;
 
 	leaves_ms = worker->leaves_ms > now_ms ? worker->leaves_ms : now_ms;
-	return worker->life.clock_ms + leaves_ms - worker->life.heard_ms;
+	return worker->inc.clock_ms + leaves_ms - worker->inc.heard_ms;
 }
 
 static bool
@@ -191,7 +191,7 @@
 
 	if (!has_leave_time(worker))
 		return false;
-	left_ms = worker->life.granted_ms - leave_clock(worker, now_ms);
+	left_ms = worker->inc.granted_ms - leave_clock(worker, now_ms);
 	return left_ms >= (worker->record_wanted == RECORD_EXPIRING ?
 				  LEAVE_SPARE_MS :
 				  LEAVE_COVER_MS);
@@ -207,12 +207,12 @@
 {
 	int64_t deadline_ms;
 
-	if (worker->life.heard_ms == 0 || !may_renew(worker) ||
-	    worker->life.dead || s->frozen)
+	if (worker->inc.heard_ms == 0 || !may_renew(worker) ||
+	    worker->inc.dead || s->frozen)
 		return 0;
 	deadline_ms = renewal_deadline(s, worker, now_ms);
-	if (deadline_ms > worker->life.granted_ms)
-		worker->life.granted_ms = deadline_ms;
+	if (deadline_ms > worker->inc.granted_ms)
+		worker->inc.granted_ms = deadline_ms;
 	return deadline_ms;
 }
 
@@ -242,8 +242,8 @@
 bool
 worker_is_silent(const struct sched_worker *worker, int64_t now_ms)
 {
-	return worker->life.misses >= SILENT_MISSES &&
-	    now_ms - worker->life.silent_ms >= SILENT_MS;
+	return worker->inc.misses >= SILENT_MISSES &&
+	    now_ms - worker->inc.silent_ms >= SILENT_MS;
 }
 
 /*
@@ -290,10 +290,10 @@
 		return;
 	if (worker_is_silent(worker, now_ms))
 		update_most_silent(s, now_ms);
-	if (worker->life.dead ||
+	if (worker->inc.dead ||
 	    (worker_is_silent(worker, now_ms) && !s->most_silent))
 		lease_request_record(s, worker, RECORD_EXPIRING);
-	else if (worker->life.heard_ms != 0 && worker->life.misses == 0)
+	else if (worker->inc.heard_ms != 0 && worker->inc.misses == 0)
 		lease_request_record(
 		    s, worker, record_for_live(worker, now_ms));
 	if (worker->record_wanted != RECORD_IN_USE && !worker->record_empty &&
--- a/core/sched_loss.c
+++ b/core/sched_loss.c
@@ -191,7 +191,7 @@
 	int64_t over_ms;
 
 	worker = run->worker;
-	over_ms = worker->life.misses > 0 ? worker->life.silent_ms : now_ms;
+	over_ms = worker->inc.misses > 0 ? worker->inc.silent_ms : now_ms;
 	if (run->over_ms != 0)
 		over_ms = run->over_ms;
 	return over_ms - run->sent_ms > LOSS_MIN_MS ? over_ms - run->sent_ms :
@@ -212,7 +212,7 @@
 	loss.crashed = cause != LOSS_LAPSED;
 	loss.begun = run->begun_ms != 0;
 	/* The run time of one that a former leader started isn't known. */
-	counts = !run->adopted && !run->worker->life.leaving;
+	counts = !run->adopted && !run->worker->inc.leaving;
 	if (counts)
 		add_loss(run->task, &loss);
 	report(s, run->task, &loss, run->worker->id, cause);
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -215,12 +215,12 @@
 		score -= INTERFERENCE_COST *
 		    share_added_load(p->s, worker, task->step->image,
 			share_cpu_fraction(p->s, worker, spec));
-	if (worker->life.speed > 1.3)
-		score -= 8000 * (worker->life.speed - 1);
+	if (worker->inc.speed > 1.3)
+		score -= 8000 * (worker->inc.speed - 1);
 	if (spec->rack[0] != '\0' &&
 	    !sched_worker_has_label(worker, spec->rack))
 		score -= 1e6;
-	if (task->avoid == worker->life.serial)
+	if (task->avoid == worker->inc.serial)
 		score -= 1e5;
 	if (loss_is_suspect(p->s, task))
 		score -= LOST_RUN_COST * (double)sched_worker_nruns(worker);
@@ -242,7 +242,7 @@
 	    FILLER_SHARE * p->s->batch_use * (double)spec->size.cpu_millis)
 		return false;
 	/* Replacing throttled fillers by new ones would keep the task late. */
-	if (worker->life.late_since_ms != 0)
+	if (worker->inc.late_since_ms != 0)
 		return false;
 	if (worker->serving == 0 ||
 	    p->now_ms - task->since_ms > INTERFERENCE_WAIT_MS)
@@ -276,7 +276,7 @@
 		return false;
 	p->examined++;
 	return worker_usable(candidate->worker, p->now_ms) &&
-	    candidate->worker->life.isolated_until_ms <= p->now_ms &&
+	    candidate->worker->inc.isolated_until_ms <= p->now_ms &&
 	    allowed(candidate->worker, task) &&
 	    (!spec->filler || filler_allowed(p, candidate->worker, task));
 }
@@ -350,12 +350,12 @@
 	worker = run->worker;
 	run->deadline_worker_ms =
 	    worker_clock(worker, now_ms) + START_TIMEOUT_MS;
-	if (run->deadline_worker_ms > worker->life.granted_ms)
-		worker->life.granted_ms = run->deadline_worker_ms;
+	if (run->deadline_worker_ms > worker->inc.granted_ms)
+		worker->inc.granted_ms = run->deadline_worker_ms;
 	s->counts.starts++;
 	health_task_placed(worker, now_ms);
 	if (loss_is_suspect(s, run->task))
-		worker->life.isolated_until_ms =
+		worker->inc.isolated_until_ms =
 		    now_ms + loss_isolation_ms(run->task);
 	if (run->task->step->spec->filler)
 		share_update_usage(s, worker, now_ms);
--- a/core/sched_run.c
+++ b/core/sched_run.c
@@ -59,7 +59,7 @@
 	task->step->image = interference_image(s->interference, spec->image);
 	run->task = task;
 	run->worker = worker;
-	run->life = worker->life.serial;
+	run->incarnation = worker->inc.serial;
 	run->attempt = attempt;
 	run->state = RUN_STARTING;
 	run->sent_ms = now_ms;
--- a/core/sched_share.c
+++ b/core/sched_share.c
@@ -143,13 +143,13 @@
 	struct sched_filler_usage *usage;
 	size_t i;
 
-	for (i = 0; i < worker->life.nusages; i++) {
-		if (worker->life.usages[i].filler == image)
-			return &worker->life.usages[i];
+	for (i = 0; i < worker->inc.nusages; i++) {
+		if (worker->inc.usages[i].filler == image)
+			return &worker->inc.usages[i];
 	}
-	if (worker->life.nusages == SCHED_FILLER_USAGE_MAX)
+	if (worker->inc.nusages == SCHED_FILLER_USAGE_MAX)
 		return NULL;
-	usage = &worker->life.usages[worker->life.nusages++];
+	usage = &worker->inc.usages[worker->inc.nusages++];
 	usage->filler = image;
 	usage->now = 0;
 	usage->recent = 0;
@@ -164,14 +164,14 @@
 	double kept;
 	size_t i;
 
-	kept = exp(-(double)(now_ms - worker->life.usages_ms) / USAGE_DECAY_MS);
-	worker->life.usages_ms = now_ms;
-	for (i = 0; i < worker->life.nusages;) {
-		usage = &worker->life.usages[i];
+	kept = exp(-(double)(now_ms - worker->inc.usages_ms) / USAGE_DECAY_MS);
+	worker->inc.usages_ms = now_ms;
+	for (i = 0; i < worker->inc.nusages;) {
+		usage = &worker->inc.usages[i];
 		usage->recent = usage->recent * kept + usage->now * (1 - kept);
 		usage->now = 0;
 		if (usage->recent < USAGE_MIN)
-			*usage = worker->life.usages[--worker->life.nusages];
+			*usage = worker->inc.usages[--worker->inc.nusages];
 		else
 			i++;
 	}
@@ -186,10 +186,10 @@
 	for (i = 0; i < worker->nserved; i++) {
 		served = &worker->served[i];
 		served->filler_load = 0;
-		for (j = 0; j < worker->life.nusages; j++)
-			served->filler_load += worker->life.usages[j].now *
+		for (j = 0; j < worker->inc.nusages; j++)
+			served->filler_load += worker->inc.usages[j].now *
 			    interference_effect(s->interference, served->image,
-				worker->life.usages[j].filler);
+				worker->inc.usages[j].filler);
 	}
 }
 
@@ -217,11 +217,11 @@
 {
 	size_t i;
 
-	for (i = 0; i < worker->life.nusages; i++) {
-		usages[i].filler = worker->life.usages[i].filler;
-		usages[i].share = worker->life.usages[i].recent;
+	for (i = 0; i < worker->inc.nusages; i++) {
+		usages[i].filler = worker->inc.usages[i].filler;
+		usages[i].share = worker->inc.usages[i].recent;
 	}
-	return worker->life.nusages;
+	return worker->inc.nusages;
 }
 
 static void
@@ -328,7 +328,7 @@
 	run->pace = percent;
 	run->pace_pending = true;
 	run->paced_ms = now_ms;
-	run->worker->life.paced_ms = now_ms;
+	run->worker->inc.paced_ms = now_ms;
 	s->counts.paces++;
 	s->opt.actions->pace(s, run, percent, s->opt.ctx);
 }
@@ -467,9 +467,9 @@
 		    (since_ms == 0 || run->late_since_ms < since_ms))
 			since_ms = run->late_since_ms;
 	}
-	worker->life.late_since_ms = since_ms;
+	worker->inc.late_since_ms = since_ms;
 	if (since_ms != 0)
-		worker->life.late_ms = now_ms;
+		worker->inc.late_ms = now_ms;
 	return since_ms;
 }
 
@@ -531,7 +531,7 @@
 		while ((run = likely_cause(s, worker)) != NULL)
 			set_pace(s, run, 0, now_ms);
 	} else if (late_ms > THROTTLE_ONE_MS &&
-	    now_ms - worker->life.paced_ms >= THROTTLE_INTERVAL_MS &&
+	    now_ms - worker->inc.paced_ms >= THROTTLE_INTERVAL_MS &&
 	    (run = likely_cause(s, worker)) != NULL)
 		set_pace(s, run, 0, now_ms);
 }
@@ -590,5 +590,5 @@
 	set_paces(s, worker, late_ms, now_ms);
 	throttle_late(s, worker, late_ms, now_ms);
 	share_update_usage(s, worker, now_ms);
-	worker->life.load_ratio = share_load_ratio(s, worker, IMAGE_NONE, 0);
+	worker->inc.load_ratio = share_load_ratio(s, worker, IMAGE_NONE, 0);
 }
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -102,7 +102,7 @@
 	worker->record_may = RECORD_BIT(RECORD_NONE);
 	room_init(&worker->room, &none);
 	TAILQ_INIT(&worker->runs);
-	life_init(s, worker);
+	incarnation_init(s, worker);
 	RB_INSERT(sched_worker_tree, &s->workers, worker);
 	due_insert(s, worker, 0);
 	return worker;
@@ -115,7 +115,7 @@
 
 	while ((run = TAILQ_FIRST(&worker->runs)) != NULL)
 		run_settle(s, run);
-	life_clear(worker);
+	incarnation_clear(worker);
 	due_remove(s, worker);
 	RB_REMOVE(sched_worker_tree, &s->workers, worker);
 	free(worker->inherited_tasks);
@@ -141,8 +141,8 @@
 	    leaves_ms < worker->leaves_ms)
 		worker->leaves_ms = leaves_ms;
 	worker->draining = draining;
-	if (life_is_listed(worker))
-		worker->life.leaving = draining;
+	if (incarnation_is_listed(worker))
+		worker->inc.leaving = draining;
 	if (worker->record_wanted == RECORD_NONE && !draining)
 		lease_request_record(s, worker, RECORD_IN_USE);
 	worker_schedule(s, worker);
@@ -199,37 +199,38 @@
 	return n;
 }
 
-/* Another worker answers at the address: this life and its runs are over. */
+/* Another worker answers at the address: this incarnation and its runs are
+ * over. */
 void
 worker_incarnation_ended(
     struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
-	worker->life.dead = true;
-	life_drop_strays(worker);
+	worker->inc.dead = true;
+	incarnation_drop_strays(worker);
 	settle_runs(s, worker, LOSS_OTHER_INCARNATION, now_ms);
-	crash_life_ended(s, worker, now_ms);
-	/* The list may have told of the next life before. */
-	if (worker->life.heard_ms != 0 &&
-	    worker->listed_born_ms != worker->life.born_ms)
-		life_replace(s, worker, now_ms);
+	crash_incarnation_ended(s, worker, now_ms);
+	/* The list may have told of the next incarnation before. */
+	if (worker->inc.heard_ms != 0 &&
+	    worker->listed_start_ms != worker->inc.started_ms)
+		incarnation_replace(s, worker, now_ms);
 }
 
 static bool
 may_start(const struct sched_worker *worker)
 {
 	return worker->record_may == RECORD_BIT(RECORD_IN_USE) &&
-	    worker->record_wanted == RECORD_IN_USE && worker->life.misses == 0;
+	    worker->record_wanted == RECORD_IN_USE && worker->inc.misses == 0;
 }
 
 bool
 worker_usable(const struct sched_worker *worker, int64_t now_ms)
 {
-	if (!worker->listed || worker->draining || worker->life.dead ||
-	    !may_start(worker) || !worker->life.fenced ||
-	    worker->life.unneeded > 0 || !SLIST_EMPTY(&worker->life.strays) ||
-	    !life_is_listed(worker))
+	if (!worker->listed || worker->draining || worker->inc.dead ||
+	    !may_start(worker) || !worker->inc.fenced ||
+	    worker->inc.unneeded > 0 || !SLIST_EMPTY(&worker->inc.strays) ||
+	    !incarnation_is_listed(worker))
 		return false;
-	return worker->life.probe_ms <= now_ms;
+	return worker->inc.probe_ms <= now_ms;
 }
 
 /* Acknowledge ends whose jobs are saved, in the worker's order. */
@@ -238,13 +239,13 @@
 {
 	struct sched_end *end;
 
-	while ((end = STAILQ_FIRST(&worker->life.ends)) != NULL) {
+	while ((end = STAILQ_FIRST(&worker->inc.ends)) != NULL) {
 		if (end->job != NULL && end->job->saved < end->change)
 			return;
-		worker->life.acknowledged = end->number;
-		STAILQ_REMOVE_HEAD(&worker->life.ends, link);
+		worker->inc.acknowledged = end->number;
+		STAILQ_REMOVE_HEAD(&worker->inc.ends, link);
 		free(end);
-		if (STAILQ_EMPTY(&worker->life.ends))
+		if (STAILQ_EMPTY(&worker->inc.ends))
 			LIST_REMOVE(worker, unsaved_link);
 	}
 }
@@ -253,15 +254,15 @@
 send_poll(struct sched *s, struct sched_worker *worker, int64_t wait_ms,
     int64_t now_ms)
 {
-	worker->poll_guarded = !life_is_proven(worker);
-	worker->poll_life = worker->life.serial;
+	worker->poll_guarded = !incarnation_is_proven(worker);
+	worker->poll_incarnation = worker->inc.serial;
 	worker->poll_deadline_ms = lease_renew(s, worker, now_ms);
 	/*
-	 * If the worker has restarted, the number of the former life would
-	 * discard ends of the next one that were never listed.
+	 * If the worker has restarted, the number of the former incarnation
+	 * would discard ends of the next one that were never listed.
 	 */
 	worker->poll_acknowledged =
-	    worker->poll_guarded ? 0 : worker->life.acknowledged;
+	    worker->poll_guarded ? 0 : worker->inc.acknowledged;
 	worker->poll_pending = true;
 	worker->poll_sent_ms = now_ms;
 	s->counts.polls++;
@@ -273,14 +274,14 @@
 static int64_t
 poll_wait_ms(const struct sched_worker *worker)
 {
-	if (!worker->life.fenced || worker->life.misses > 0 ||
-	    worker->life.unneeded > 0 || !SLIST_EMPTY(&worker->life.strays) ||
-	    !STAILQ_EMPTY(&worker->life.ends))
+	if (!worker->inc.fenced || worker->inc.misses > 0 ||
+	    worker->inc.unneeded > 0 || !SLIST_EMPTY(&worker->inc.strays) ||
+	    !STAILQ_EMPTY(&worker->inc.ends))
 		return 0;
 	if (worker->serving == 0 || worker->filler_cpu == 0)
 		return worker->draining ? POLL_DRAINING_MS : POLL_WAIT_MS;
-	return worker->life.late_since_ms != 0 ||
-		worker->life.load_ratio > HIGH_LOAD_RATIO ?
+	return worker->inc.late_since_ms != 0 ||
+		worker->inc.load_ratio > HIGH_LOAD_RATIO ?
 	    POLL_HIGH_LOAD_MS :
 	    POLL_SHARED_MS;
 }
@@ -292,10 +293,10 @@
 static bool
 can_wait(const struct sched_worker *worker)
 {
-	return worker->life.fenced && worker->life.misses == 0 &&
-	    worker->life.unneeded == 0 && SLIST_EMPTY(&worker->life.strays) &&
-	    worker->life.late_since_ms == 0 &&
-	    worker->life.load_ratio <= HIGH_LOAD_RATIO && !worker->draining;
+	return worker->inc.fenced && worker->inc.misses == 0 &&
+	    worker->inc.unneeded == 0 && SLIST_EMPTY(&worker->inc.strays) &&
+	    worker->inc.late_since_ms == 0 &&
+	    worker->inc.load_ratio <= HIGH_LOAD_RATIO && !worker->draining;
 }
 
 static void
@@ -303,14 +304,14 @@
 {
 	int64_t due_ms;
 
-	if (worker->poll_pending || worker->life.dead)
+	if (worker->poll_pending || worker->inc.dead)
 		return;
 	due_ms = worker->next_poll_ms;
 	if (s->link_full && can_wait(worker) &&
 	    due_ms < worker->poll_sent_ms + POLL_LINK_FULL_MS)
 		due_ms = worker->poll_sent_ms + POLL_LINK_FULL_MS;
 	/* The worker would answer at once, with the same ends. */
-	if (!STAILQ_EMPTY(&worker->life.ends) &&
+	if (!STAILQ_EMPTY(&worker->inc.ends) &&
 	    due_ms < worker->poll_sent_ms + POLL_UNSAVED_MS)
 		due_ms = worker->poll_sent_ms + POLL_UNSAVED_MS;
 	if (now_ms < due_ms)
@@ -323,9 +324,9 @@
 worker_call_failed(struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
 	worker_schedule(s, worker);
-	if (worker->life.misses++ == 0)
-		worker->life.silent_ms = now_ms;
-	worker->next_poll_ms = now_ms + POLL_RETRY_MS * worker->life.misses;
+	if (worker->inc.misses++ == 0)
+		worker->inc.silent_ms = now_ms;
+	worker->next_poll_ms = now_ms + POLL_RETRY_MS * worker->inc.misses;
 }
 
 static void
@@ -333,31 +334,31 @@
 {
 	int64_t expiry_ms;
 
-	if (worker->life.lapsed ||
-	    (worker->life.misses == 0 && worker->life.fenced))
+	if (worker->inc.lapsed ||
+	    (worker->inc.misses == 0 && worker->inc.fenced))
 		return;
 	expiry_ms = lease_expiry_ms(s, worker);
 	if (now_ms < expiry_ms) {
 		sched_due(s, expiry_ms);
 		return;
 	}
-	worker->life.unneeded = 0;
-	life_drop_strays(worker);
+	worker->inc.unneeded = 0;
+	incarnation_drop_strays(worker);
 	s->opt.actions->lapsed(
 	    s, worker, settle_runs(s, worker, LOSS_LAPSED, now_ms), s->opt.ctx);
-	worker->life.lapsed = true;
+	worker->inc.lapsed = true;
 }
 
 static bool
 is_removable(const struct sched_worker *worker, int64_t now_ms)
 {
 	if (worker->listed || worker->poll_pending ||
-	    !TAILQ_EMPTY(&worker->runs) || !STAILQ_EMPTY(&worker->life.ends))
+	    !TAILQ_EMPTY(&worker->runs) || !STAILQ_EMPTY(&worker->inc.ends))
 		return false;
-	return worker->life.dead || worker->life.lapsed ||
+	return worker->inc.dead || worker->inc.lapsed ||
 	    (worker_is_silent(worker, now_ms) && worker_is_empty(worker)) ||
-	    (worker->life.heard_ms != 0 &&
-		now_ms - worker->life.heard_ms > FORGET_MS);
+	    (worker->inc.heard_ms != 0 &&
+		now_ms - worker->inc.heard_ms > FORGET_MS);
 }
 
 /* false: the worker was removed. */
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -91,7 +91,7 @@
 	TAILQ_ENTRY(sched_run) by_task;
 	struct sched_task *task;
 	struct sched_worker *worker;
-	uint32_t life; /* serial of the life that the start was sent to */
+	uint32_t incarnation; /* serial of the one that it was sent to */
 	uint32_t attempt;
 	enum sched_run_state state;
 	bool adopted; /* found at its worker, not started in this term */
@@ -104,7 +104,7 @@
 	int64_t answered_ms; /* when the start or the stop was answered */
 	int64_t sent_ms; /* when the start was sent */
 	int64_t begun_ms; /* when it was first known to run */
-	int64_t over_ms; /* when that life was last up, once it is over */
+	int64_t over_ms; /* end of that incarnation; 0: it isn't over */
 	int64_t deadline_worker_ms; /* the worker refuses the start after it */
 	int percent; /* progress, as last listed */
 	int64_t percent_ms; /* when percent last rose */
@@ -146,7 +146,7 @@
 	uint64_t losses_change; /* the job's change that saves them */
 	int64_t survived_ms; /* run time of other ended runs, in this term */
 	uint32_t attempt; /* the highest used in this term */
-	uint32_t avoid; /* serial of the life where it last failed */
+	uint32_t avoid; /* serial of the incarnation where it last failed */
 	uint32_t moves; /* moves for lack of progress, in this term */
 	struct sched_runs runs;
 	int64_t not_before_ms; /* may run elsewhere until then, or backs off */
@@ -270,19 +270,19 @@
 #define RECORD_BIT(record) (1U << (record))
 
 /*
- * What holds for one life of a worker only.  A worker that restarts may keep
- * its id, and then holds and knows nothing of before and counts its ends and
- * its time anew; so all of this is replaced at once (sched_life.c).
+ * What holds for one incarnation of a worker only.  A worker that restarts may
+ * keep its id, and then holds and knows nothing of before and counts its ends
+ * and its time anew; so all of this is replaced at once (sched_incarnation.c).
  */
-struct sched_life {
-	uint32_t serial; /* never used for another life or worker */
-	int64_t born_ms; /* its start as it tells it; 0: not told */
+struct sched_incarnation {
+	uint32_t serial; /* never used for another incarnation or worker */
+	int64_t started_ms; /* its start as it tells it; 0: not told */
 	bool fenced; /* has answered a poll of this term */
 	bool dead; /* certainly over */
 	bool lapsed; /* silent, and the leases of all runs have expired */
 	bool leaving; /* its entry says that it drains */
 	bool doubted; /* the list of workers tells another start */
-	bool former_orders; /* may hold leases granted to the former life */
+	bool former_orders; /* may hold leases meant for the former one */
 	struct sched_strays strays; /* of the last poll */
 	uint32_t unneeded; /* strays that aren't needed */
 	uint32_t misses; /* consecutive calls without an answer */
@@ -314,7 +314,7 @@
 	LIST_ENTRY(sched_worker) unsaved_link; /* while ends isn't empty */
 	bool in_due_tree;
 	int64_t due_ms; /* when worker_run() is due; 0: at once */
-	char id[SCHED_WORKER_ID_MAX]; /* its lives may share it */
+	char id[SCHED_WORKER_ID_MAX]; /* its incarnations may share it */
 	char service[GRAPH_NAME_MAX];
 	char address[SCHED_ADDRESS_MAX];
 	char data_center[GRAPH_NAME_MAX];
@@ -328,8 +328,8 @@
 	struct sched_served served[SCHED_SERVED_MAX]; /* their images */
 	size_t nserved;
 	struct sched_runs runs;
-	struct sched_life life; /* the present one */
-	int64_t listed_born_ms; /* start told by its entry in the list */
+	struct sched_incarnation inc; /* the present one */
+	int64_t listed_start_ms; /* start told by its entry in the list */
 	bool listed;
 	bool in_list; /* the caller's, while it reads the whole list */
 	unsigned int record_may; /* RECORD_BIT()s the store may hold */
@@ -343,10 +343,10 @@
 	bool poll_pending;
 	int64_t poll_sent_ms;
 	int64_t next_poll_ms;
-	uint32_t poll_life; /* serial of the life that the last poll was for */
+	uint32_t poll_incarnation; /* serial of the one last polled */
 	uint64_t poll_acknowledged; /* by the last poll */
 	int64_t poll_deadline_ms; /* granted by the last poll; 0: none */
-	bool poll_guarded; /* the last poll may reach another life */
+	bool poll_guarded; /* the last poll may reach another incarnation */
 };
 RB_HEAD(sched_worker_tree, sched_worker);
 RB_HEAD(sched_due_tree, sched_worker);
@@ -378,7 +378,7 @@
 };
 
 struct poll_result {
-	int64_t born_ms; /* the worker's start, ms since 1970; 0: not told */
+	int64_t started_ms; /* the worker's start, ms since 1970; 0: not told */
 	int64_t clock_ms;
 	const struct poll_running *running;
 	size_t nrunning;
@@ -596,11 +596,11 @@
 struct sched_worker *sched_worker_get(struct sched *, const char *id);
 /*
  * The list of workers tells this start of the worker.  Call it before
- * sched_worker_listed().  Its entry may be that of a life that is over, as a
- * worker without the store can't replace it, so the next poll decides.
+ * sched_worker_listed().  Its entry may be that of an incarnation that is over,
+ * as a worker without the store can't replace it, so the next poll decides.
  */
-void sched_worker_list_life(
-    struct sched *, struct sched_worker *, int64_t born_ms, int64_t now_ms);
+void sched_worker_list_start(
+    struct sched *, struct sched_worker *, int64_t started_ms, int64_t now_ms);
 void sched_worker_listed(struct sched *, struct sched_worker *,
     const struct resources *, bool draining, int64_t leaves_ms, int64_t now_ms);
 void sched_worker_unlisted(
@@ -641,10 +641,10 @@
 void sched_start_answered(struct sched *, struct sched_worker *,
     const struct task_name *, uint32_t attempt, enum worker_answer,
     int64_t clock_ms, int64_t now_ms);
-/* life: worker->life.serial when the stop was sent. */
-void sched_stop_answered(struct sched *, struct sched_worker *, uint32_t life,
-    const struct task_name *, uint32_t attempt, enum worker_answer,
-    int64_t clock_ms, int64_t now_ms);
+/* incarnation: worker->inc.serial when the stop was sent. */
+void sched_stop_answered(struct sched *, struct sched_worker *,
+    uint32_t incarnation, const struct task_name *, uint32_t attempt,
+    enum worker_answer, int64_t clock_ms, int64_t now_ms);
 void sched_poll_answered(struct sched *, struct sched_worker *,
     enum worker_answer, const struct poll_result *, int64_t now_ms);
 /*
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -354,7 +354,7 @@
 	    "fillers=%lld "
 	    "running=%u waiting=%u waiting_fillers=%u serving=%u late=%u "
 	    "paced=%u serving_use=%.2f starts=%llu looks=%llu stills=%llu "
-	    "moves=%llu",
+	    "moves=%llu restarts=%llu",
 	    load.workers, load.usable, load.unsettled, (long long)load.cpu,
 	    (long long)load.claimed, (long long)load.fillers, load.running,
 	    load.waiting, load.waiting_fillers, load.serving, load.late,
@@ -362,7 +362,8 @@
 	    (unsigned long long)l->sched->counts.starts,
 	    (unsigned long long)l->sched->counts.polls,
 	    (unsigned long long)l->sched->counts.stalled,
-	    (unsigned long long)l->sched->counts.moves);
+	    (unsigned long long)l->sched->counts.moves,
+	    (unsigned long long)l->sched->counts.restarts);
 }
 
 static const char *
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -15,7 +15,7 @@
 	char worker[SCHED_WORKER_ID_MAX];
 	struct task_name task;
 	uint32_t attempt;
-	uint32_t life; /* of the worker, when the call was made */
+	uint32_t incarnation; /* of the worker, when the call was made */
 };
 
 static struct call *
@@ -37,7 +37,7 @@
 	if (task != NULL)
 		call->task = *task;
 	call->attempt = attempt;
-	call->life = worker->life.serial;
+	call->incarnation = worker->inc.serial;
 	lead_ref(l);
 	return call;
 }
@@ -133,9 +133,9 @@
 
 	call = ctx;
 	if ((worker = call_worker(call)) != NULL)
-		sched_stop_answered(call->lead->sched, worker, call->life,
-		    &call->task, call->attempt, result->answer,
-		    result->clock_ms, clock_now_ms());
+		sched_stop_answered(call->lead->sched, worker,
+		    call->incarnation, &call->task, call->attempt,
+		    result->answer, result->clock_ms, clock_now_ms());
 	call_end(call);
 }
 
@@ -178,9 +178,8 @@
 	    "job=%s step=%u index=%u attempt=%u worker=%s reason=%s "
 	    "processed=%llu acknowledged=%llu",
 	    task->job, task->step, task->index, attempt, worker->id,
-	    stop_reason_name(reason),
-	    (unsigned long long)worker->life.processed,
-	    (unsigned long long)worker->life.acknowledged);
+	    stop_reason_name(reason), (unsigned long long)worker->inc.processed,
+	    (unsigned long long)worker->inc.acknowledged);
 	call = call_new(l, worker, task, attempt);
 	order_init(&order, s, worker, &call->task, attempt);
 	l->workers.stop(l->workers.self, &order, on_stop, call);
@@ -220,8 +219,8 @@
 static long long
 silent_for(const struct sched_worker *worker, int64_t now_ms)
 {
-	return worker->life.heard_ms != 0 ?
-	    (long long)(now_ms - worker->life.heard_ms) :
+	return worker->inc.heard_ms != 0 ?
+	    (long long)(now_ms - worker->inc.heard_ms) :
 	    -1;
 }
 
@@ -232,7 +231,7 @@
 {
 	uint32_t misses;
 
-	misses = worker->life.misses;
+	misses = worker->inc.misses;
 	if (misses_before >= SILENT_MISSES && misses == 0)
 		log_info("worker_answers", "worker=%s missed=%u", worker->id,
 		    misses_before);
@@ -250,18 +249,18 @@
 log_start(const struct sched_worker *worker, const struct poll_result *poll,
     int64_t now_ms)
 {
-	if (poll == NULL || poll->born_ms == worker->life.born_ms ||
-	    worker->life.heard_ms == 0)
+	if (poll == NULL || poll->started_ms == worker->inc.started_ms ||
+	    worker->inc.heard_ms == 0)
 		return;
 	log_warn("worker_restarted",
-	    "worker=%s born=%lld before=%lld clock=%lld "
+	    "worker=%s started=%lld before=%lld clock=%lld "
 	    "clock_before=%lld processed=%llu acknowledged=%llu "
 	    "tasks=%zu listed=%zu ended=%zu",
-	    worker->id, (long long)poll->born_ms,
-	    (long long)worker->life.born_ms, (long long)poll->clock_ms,
-	    (long long)(worker->life.clock_ms + now_ms - worker->life.heard_ms),
-	    (unsigned long long)worker->life.processed,
-	    (unsigned long long)worker->life.acknowledged,
+	    worker->id, (long long)poll->started_ms,
+	    (long long)worker->inc.started_ms, (long long)poll->clock_ms,
+	    (long long)(worker->inc.clock_ms + now_ms - worker->inc.heard_ms),
+	    (unsigned long long)worker->inc.processed,
+	    (unsigned long long)worker->inc.acknowledged,
 	    sched_worker_nruns(worker), poll->nrunning, poll->nfinished);
 }
 
@@ -276,7 +275,7 @@
 	call = ctx;
 	now_ms = clock_now_ms();
 	if ((worker = call_worker(call)) != NULL) {
-		misses = worker->life.misses;
+		misses = worker->inc.misses;
 		log_start(worker, result->poll, now_ms);
 		sched_poll_answered(call->lead->sched, worker, result->answer,
 		    result->poll, now_ms);
--- a/entry/lead_fleet.c
+++ b/entry/lead_fleet.c
@@ -26,7 +26,7 @@
 	if (worker == NULL || !worker->listed)
 		return;
 	log_info("worker_unlisted", "worker=%s silent_ms=%lld", id,
-	    (long long)(now_ms - worker->life.heard_ms));
+	    (long long)(now_ms - worker->inc.heard_ms));
 	sched_worker_unlisted(l->sched, worker, now_ms);
 }
 
@@ -61,12 +61,13 @@
 	if (info.draining && !worker->draining)
 		log_info("worker_draining", "worker=%s leaves_in_ms=%lld",
 		    info.id, (long long)info.leaves_in_ms);
-	if (worker->listed_born_ms != 0 &&
-	    worker->listed_born_ms != info.born_ms)
+	if (worker->listed_start_ms != 0 &&
+	    worker->listed_start_ms != info.started_ms)
 		log_info("worker_listed_again",
-		    "worker=%s born=%lld before=%lld", info.id,
-		    (long long)info.born_ms, (long long)worker->listed_born_ms);
-	sched_worker_list_life(l->sched, worker, info.born_ms, now_ms);
+		    "worker=%s started=%lld before=%lld", info.id,
+		    (long long)info.started_ms,
+		    (long long)worker->listed_start_ms);
+	sched_worker_list_start(l->sched, worker, info.started_ms, now_ms);
 	strlcpy(worker->service, info.service, sizeof(worker->service));
 	strlcpy(worker->address, info.address, sizeof(worker->address));
 	strlcpy(
--- a/entry/lead_record.c
+++ b/entry/lead_record.c
@@ -228,7 +228,7 @@
 	left_ms = sched_worker_lease_left_ms(l->sched, worker, now_ms);
 	if (left_ms > 0)
 		request_refresh(l,
-		    worker->life.misses > 0 ? REFRESH_MS : REFRESH_DRAINING_MS);
+		    worker->inc.misses > 0 ? REFRESH_MS : REFRESH_DRAINING_MS);
 	json_array_append_new(row, json_integer((json_int_t)left_ms));
 	return row;
 }
--- a/entry/relayread.c
+++ b/entry/relayread.c
@@ -221,7 +221,7 @@
 	memset(&poll, 0, sizeof(poll));
 	poll.clock_ms = answer->clock_ms;
 	answer->worker = get_text(d, r, SCHED_WORKER_ID_MAX - 1);
-	poll.born_ms = (int64_t)wire_uint(r, INT64_MAX);
+	poll.started_ms = (int64_t)wire_uint(r, INT64_MAX);
 	running = get_running_or_lost(d, r, answer, &poll.nrunning);
 	finished = get_all_finished(d, r, &poll.nfinished);
 	if (running == NULL || finished == NULL)
--- a/entry/relaywire.c
+++ b/entry/relaywire.c
@@ -244,7 +244,7 @@
 	if (poll == NULL)
 		return;
 	wire_put_str(&pk, answer->worker);
-	put_number(&pk, poll->born_ms);
+	put_number(&pk, poll->started_ms);
 	msgpack_pack_uint64(&pk, base != NULL ? base->number : 0);
 	put_all_running(&pk, poll, base);
 	msgpack_pack_array(&pk, poll->nfinished);
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -313,7 +313,7 @@
 		// Delay after which lost starts are carried out; 0: never.
 		int64_t start_delay_ms = 0;
 		uint64_t last_end = 0;
-		int64_t born_ms = 0; // start that it tells; 0: none
+		int64_t started_ms = 0; // start that it tells; 0: none
 		int64_t clock_base_ms = 0; // its clock began then
 		std::vector<Running> running, delayed;
 		std::vector<Ended> ended;
@@ -478,7 +478,7 @@
 			if (SameAttempt(m.delayed[i].order, o))
 				m.delayed.erase(
 				    m.delayed.begin() + static_cast<long>(i));
-		sched_stop_answered(s, Find(o), Find(o)->life.serial, &o.task,
+		sched_stop_answered(s, Find(o), Find(o)->inc.serial, &o.task,
 		    o.attempt, heard ? ANSWER_OK : ANSWER_LOST, Clock(m), now);
 	}
 
@@ -524,7 +524,7 @@
 			m.ended.erase(m.ended.begin());
 		for (auto &e : m.ended)
 			ends.push_back(End(e.number, e.order, e.how));
-		Answer(w, rows, ends, m.born_ms, Clock(m));
+		Answer(w, rows, ends, m.started_ms, Clock(m));
 	}
 
 	size_t starts_done = 0, stops_done = 0, paces_done = 0;
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -17,8 +17,8 @@
 // After this time starts must respect the new capacity.
 constexpr int64_t kShrinkGraceMs = 4100;
 constexpr int64_t kCrashAfterMs = 10;
-constexpr int64_t kFirstBornMs = 1000000;
-// A new life is in the list after this time at the latest.
+constexpr int64_t kFirstStartMs = 1000000;
+// A new incarnation is in the list after this time at the latest.
 constexpr int64_t kListedAfterMs = 2000;
 
 Leader *
@@ -123,7 +123,7 @@
 		if (faults.slow_clocks)
 			worker->clock_slowdown = 0.005 * i;
 		if (faults.same_ids)
-			worker->born_ms = kFirstBornMs;
+			worker->started_ms = kFirstStartMs;
 		workers_.push_back(std::move(worker));
 	}
 	TakeOver();
@@ -152,7 +152,7 @@
 World::Deliver(
     double late_share, const std::string &id, std::function<void()> event)
 {
-	const Worker *life = Find(id);
+	const Worker *incarnation = Find(id);
 
 	if (!Chance(late_share)) {
 		At(now_ms + kOneWayMs, std::move(event));
@@ -161,7 +161,7 @@
 	At(now_ms + 2000 +
 		std::uniform_int_distribution<int64_t>(0, 10000)(random_),
 	    [=, this] {
-		    if (Find(id) == life)
+		    if (Find(id) == incarnation)
 			    event();
 	    });
 }
@@ -442,11 +442,11 @@
     uint32_t attempt)
 {
 	uint64_t term = leader->term;
-	uint32_t life =
-	    sched_worker_find(leader->sched, id.c_str())->life.serial;
+	uint32_t incarnation =
+	    sched_worker_find(leader->sched, id.c_str())->inc.serial;
 	bool answer_lost = Chance(faults_.lost);
 	auto answered = std::make_shared<bool>(false);
-	auto reply = [this, leader, id, life, task, attempt, answered](
+	auto reply = [this, leader, id, incarnation, task, attempt, answered](
 			 enum worker_answer answer, int64_t clock) {
 		if (*answered || leader->sched == nullptr)
 			return;
@@ -454,8 +454,8 @@
 		struct sched_worker *worker =
 		    sched_worker_find(leader->sched, id.c_str());
 		if (worker != nullptr)
-			sched_stop_answered(leader->sched, worker, life, &task,
-			    attempt, answer, clock, now_ms);
+			sched_stop_answered(leader->sched, worker, incarnation,
+			    &task, attempt, answer, clock, now_ms);
 	};
 
 	Deliver(faults_.late, id, [=, this] {
@@ -555,7 +555,7 @@
 		for (auto &end : worker->ends)
 			ends->push_back(
 			    { end.number, end.task, end.attempt, end.how, "" });
-		int64_t clock = ClockOf(*worker), born = worker->born_ms;
+		int64_t clock = ClockOf(*worker), born = worker->started_ms;
 		if (answer_lost)
 			return;
 		At(now_ms + kOneWayMs, [=, this] {
@@ -812,8 +812,8 @@
 	next->host = worker.host;
 	if (faults_.same_ids) {
 		// Times of day may be stepped back between the two.
-		next->born_ms =
-		    worker.born_ms + (Chance(0.5) ? 1 + now_ms : -1 - now_ms);
+		next->started_ms = worker.started_ms +
+		    (Chance(0.5) ? 1 + now_ms : -1 - now_ms);
 		next->clock_base_ms = now_ms - 1;
 		next->listed_from_ms = now_ms +
 		    std::uniform_int_distribution<int64_t>(0, kListedAfterMs)(
@@ -903,9 +903,10 @@
 			if (worker.get() != Find(worker->id) ||
 			    now_ms < worker->listed_from_ms)
 				continue;
-			bool again = known->listed_born_ms != worker->born_ms;
-			sched_worker_list_life(
-			    s, known, worker->born_ms, now_ms);
+			bool again =
+			    known->listed_start_ms != worker->started_ms;
+			sched_worker_list_start(
+			    s, known, worker->started_ms, now_ms);
 			if (worker->alive &&
 			    (again || !known->listed ||
 				known->draining != worker->draining ||
--- a/tests/sched_world.h
+++ b/tests/sched_world.h
@@ -79,9 +79,10 @@
 struct Worker {
 	std::string id;
 	int host; // successive incarnations share it
-	int64_t born_ms = 0; // start that it tells; 0: none
+	int64_t started_ms = 0; // start that it tells; 0: none
 	int64_t clock_base_ms = 0; // its clock began then
-	int64_t listed_from_ms = 0; // the list has its former life until then
+	int64_t listed_from_ms =
+	    0; // the list has its former incarnation until then
 	struct resources capacity;
 	struct resources listed; // capacity that leaders are told
 	// Until then the checks allow the full capacity.
--- a/tests/test_relaywire.cc
+++ b/tests/test_relaywire.cc
@@ -28,7 +28,7 @@
 struct Answer {
 	struct relay_answer answer;
 	std::string worker;
-	int64_t born_ms = 0;
+	int64_t started_ms = 0;
 	std::vector<struct poll_running> running;
 	std::vector<std::string> checkpoints;
 	std::vector<struct poll_finished> finished;
@@ -77,7 +77,7 @@
 		if (answer->poll != nullptr) {
 			const struct poll_result *look = answer->poll;
 			got.worker = answer->worker;
-			got.born_ms = look->born_ms;
+			got.started_ms = look->started_ms;
 			got.running.assign(
 			    look->running, look->running + look->nrunning);
 			for (auto &row : got.running)
@@ -122,7 +122,7 @@
 	    const std::vector<struct poll_running> &rows,
 	    const std::vector<struct poll_finished> &ends = {})
 	{
-		struct poll_result look = { born_ms, 100, rows.data(),
+		struct poll_result look = { started_ms, 100, rows.data(),
 			rows.size(), ends.data(), ends.size() };
 		struct relay_answer answer;
 
@@ -149,7 +149,7 @@
 		return message.size;
 	}
 
-	int64_t born_ms = 0; // start that the worker tells
+	int64_t started_ms = 0; // start that the worker tells
 	struct relay_writer writer;
 	struct relay_reader reader;
 	struct running_lists leader, member;
@@ -160,18 +160,19 @@
 
 } // namespace
 
-// Guards against runs of two lives being mixed in a list told as a delta.
+// Guards against runs of two incarnations being mixed in a list told as a
+// delta.
 TEST_F(RelayWire, AListOfTheNextLifeIsToldAsItIs)
 {
-	born_ms = 1700000000000;
+	started_ms = 1700000000000;
 	WritePoll(1, 0, { Row(1, "", 10, 5), Row(2, "", 20, 5) });
 	Send();
-	born_ms = 1600000000000;
+	started_ms = 1600000000000;
 	WritePoll(2, 1, { Row(2, "", 3, 5) });
 	Send();
 	ASSERT_EQ(answers.size(), 2u);
-	EXPECT_EQ(answers[0].born_ms, 1700000000000);
-	EXPECT_EQ(answers[1].born_ms, 1600000000000);
+	EXPECT_EQ(answers[0].started_ms, 1700000000000);
+	EXPECT_EQ(answers[1].started_ms, 1600000000000);
 	ASSERT_EQ(answers[1].running.size(), 1u);
 	EXPECT_EQ(answers[1].running[0].task.index, 2u);
 	EXPECT_EQ(answers[1].running[0].percent, 3);
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -45,7 +45,7 @@
 	ASSERT_EQ(stopped.size(), 1u);
 	EXPECT_LT(now, 10000 + 4000);
 	before = started.size();
-	sched_stop_answered(s, w, w->life.serial, &stopped[0].task,
+	sched_stop_answered(s, w, w->inc.serial, &stopped[0].task,
 	    stopped[0].attempt, ANSWER_OK, now, now);
 	Answer(w, {}, { End(1, started[0], END_STOPPED) });
 	sched_act(s, now += 10);
@@ -169,7 +169,7 @@
 	sched_job_cancel(s, job, now);
 	sched_act(s, now += 10);
 	ASSERT_EQ(stopped.size(), 1u);
-	sched_stop_answered(s, w, w->life.serial, &started[0].task,
+	sched_stop_answered(s, w, w->inc.serial, &started[0].task,
 	    started[0].attempt, ANSWER_OK, now, now);
 	sched_worker_listed(s, w, &small, false, 0, now += 10);
 	Add(gang);
@@ -194,7 +194,7 @@
 	now += 10;
 	sched_act(s, now);
 	ASSERT_EQ(stopped.size(), 1u);
-	sched_stop_answered(s, w, w->life.serial, &first.task, first.attempt,
+	sched_stop_answered(s, w, w->inc.serial, &first.task, first.attempt,
 	    ANSWER_OK, now, now);
 	now += 50;
 	sched_act(s, now);
@@ -448,7 +448,7 @@
 	ASSERT_EQ(stopped.size(), 2u);
 	// Their ends are listed, so they start elsewhere.
 	for (auto &o : std::vector<Order>(stopped))
-		sched_stop_answered(s, w, w->life.serial, &o.task, o.attempt,
+		sched_stop_answered(s, w, w->inc.serial, &o.task, o.attempt,
 		    ANSWER_OK, now, now);
 	Answer(w, {},
 	    { End(1, stopped[0], END_STOPPED),
@@ -702,11 +702,11 @@
 	EXPECT_EQ(job->state, JOB_COMPLETED);
 	EXPECT_EQ(sched_job_visible_state(job), JOB_RUNNING);
 	sched_act(s, now += 10);
-	EXPECT_EQ(w->life.acknowledged, 0u);
+	EXPECT_EQ(w->inc.acknowledged, 0u);
 	sched_saved(s, job, job->change, now);
 	sched_act(s, now += 10);
 	EXPECT_EQ(sched_job_visible_state(job), JOB_COMPLETED);
-	EXPECT_EQ(w->life.acknowledged, 1u);
+	EXPECT_EQ(w->inc.acknowledged, 1u);
 }
 
 // Fillers run beside a serving task that is over its target.  The likely cause
--- a/tests/test_sched_cancel.cc
+++ b/tests/test_sched_cancel.cc
@@ -208,10 +208,10 @@
 	Simulate(200);
 	sched_job_cancel(s, job, now);
 	Simulate(9000);
-	EXPECT_TRUE(sched_worker_find(s, "w1")->life.lapsed);
+	EXPECT_TRUE(sched_worker_find(s, "w1")->inc.lapsed);
 	sim["w1"].reachable = true;
 	// Silent workers are polled at increasing intervals.
-	for (int i = 0; i < 40 && sched_worker_find(s, "w1")->life.misses > 0;
+	for (int i = 0; i < 40 && sched_worker_find(s, "w1")->inc.misses > 0;
 	     i++)
 		Simulate(50);
 	ExpectStopsUntilGone("w1");
--- a/tests/test_sched_lasting.cc
+++ b/tests/test_sched_lasting.cc
@@ -78,7 +78,7 @@
 	EXPECT_FALSE(paced.empty());
 	EXPECT_FALSE(stopped.empty());
 	EXPECT_GT(s->counts.stalled, 0u);
-	EXPECT_GT(sched_worker_find(s, "w2")->life.speed, 1.3);
+	EXPECT_GT(sched_worker_find(s, "w2")->inc.speed, 1.3);
 	// but no serving task was stopped.
 	EXPECT_EQ(StopsOfServing(), 0u);
 }
--- a/tests/test_sched_model.cc
+++ b/tests/test_sched_model.cc
@@ -200,7 +200,8 @@
 }
 
 // Guards against starts on a worker whose capacity was reduced.
-// Guards against what a former life said being taken for the present one's.
+// Guards against what a former incarnation said being taken for the present
+// one's.
 TEST(SchedModel, WorkersThatRestartUnderTheirIds)
 {
 	Faults faults;
--- a/tests/test_sched_life.cc
+++ b/tests/test_sched_restart.cc
@@ -2,14 +2,14 @@
 
 // Workers that tell their start and restart under the id that they had: they
 // hold nothing of before, and count ends and time anew.
-class SchedLife : public SchedSim {
+class SchedRestart : public SchedSim {
       protected:
-	static constexpr int64_t kBorn = 1700000000000;
+	static constexpr int64_t kStarted = 1700000000000;
 
 	struct sched_worker *
-	JoinTelling(const char *id, int64_t cpu, int64_t born = kBorn)
+	JoinTelling(const char *id, int64_t cpu, int64_t born = kStarted)
 	{
-		sim[id].born_ms = born;
+		sim[id].started_ms = born;
 		sim[id].clock_base_ms = now - 1;
 		List(id, born);
 		return Join(id, cpu);
@@ -19,7 +19,7 @@
 	void
 	List(const std::string &id, int64_t born)
 	{
-		sched_worker_list_life(
+		sched_worker_list_start(
 		    s, sched_worker_get(s, id.c_str()), born, now);
 	}
 
@@ -34,14 +34,14 @@
 		m.ended.clear();
 	}
 
-	// Its next life begins.
+	// Its next incarnation begins.
 	void
 	ComeBack(const std::string &id, int64_t born, bool listed = true)
 	{
 		SimWorker &m = sim[id];
 
 		m.reachable = true;
-		m.born_ms = born;
+		m.started_ms = born;
 		m.clock_base_ms = now;
 		m.last_end = 0;
 		if (listed)
@@ -86,11 +86,11 @@
 };
 
 // Guards against a task that is done on a restarted worker and starts again.
-TEST_F(SchedLife, EndsAfterARestartAreListedAndCount)
+TEST_F(SchedRestart, EndsAfterARestartAreListedAndCount)
 {
 	JoinTelling("w", 4000);
 	RunShortJobs(8);
-	Restart("w", kBorn + 7000);
+	Restart("w", kStarted + 7000);
 	Simulate(1000);
 	run_ms["b"] = 300;
 	Add(Graph("b", 3, 1000));
@@ -100,11 +100,11 @@
 }
 
 // Guards against taking the larger of two starts for the later one.
-TEST_F(SchedLife, ARestartAfterAClockStepBackIsARestart)
+TEST_F(SchedRestart, ARestartAfterAClockStepBackIsARestart)
 {
 	JoinTelling("w", 4000);
 	RunShortJobs(8);
-	Restart("w", kBorn - 60000);
+	Restart("w", kStarted - 60000);
 	Simulate(1000);
 	run_ms["b"] = 300;
 	Add(Graph("b", 3, 1000));
@@ -114,14 +114,14 @@
 }
 
 // Guards against waiting for a lease, or for lists, to restart what was lost.
-TEST_F(SchedLife, RunsOfTheFormerLifeAreLostAtTheFirstAnswer)
+TEST_F(SchedRestart, RunsOfTheFormerIncarnationAreLostAtTheFirstAnswer)
 {
 	JoinTelling("w", 4000);
 	run_ms["a"] = 50000;
 	Add(Graph("a", 2, 1000));
 	Simulate(1500);
 	ASSERT_EQ(started.size(), 2u);
-	Restart("w", kBorn + 7000);
+	Restart("w", kStarted + 7000);
 	Simulate(600);
 	EXPECT_EQ(started.size(), 4u);
 	ASSERT_EQ(lost.size(), 2u);
@@ -129,12 +129,12 @@
 	EXPECT_EQ(RunningAnywhere(), 2u);
 }
 
-// Guards against leases on the former life's clock.
-TEST_F(SchedLife, LeasesAreGrantedOnThePresentClock)
+// Guards against leases on the former incarnation's clock.
+TEST_F(SchedRestart, LeasesAreGrantedOnThePresentClock)
 {
 	JoinTelling("w", 4000);
 	Simulate(20000);
-	Restart("w", kBorn + 7000);
+	Restart("w", kStarted + 7000);
 	Simulate(300);
 	renewed = 0;
 	Simulate(1500);
@@ -143,21 +143,21 @@
 }
 
 // Guards against ends of a restarted worker that a poll discards unseen.
-TEST_F(SchedLife, APollAfterALostOneAcknowledgesNothing)
+TEST_F(SchedRestart, APollAfterALostOneAcknowledgesNothing)
 {
 	struct sched_worker *w = JoinTelling("w", 4000);
 
 	RunShortJobs(8);
 	EXPECT_GT(AcknowledgedByPoll(w), 0u);
 	GoDown("w");
-	while (w->life.misses < 2)
+	while (w->inc.misses < 2)
 		Simulate(50);
 	EXPECT_EQ(AcknowledgedByPoll(w), 0u);
 }
 
 // Guards against a second run of a task whose start is carried out by the next
-// life, which doesn't know that the former one was told to stop it.
-TEST_F(SchedLife, AStartThatReachesTheNextLifeRunsOnce)
+// incarnation, which doesn't know that the former one was told to stop it.
+TEST_F(SchedRestart, AStartThatReachesTheNextLifeRunsOnce)
 {
 	JoinTelling("w", 4000);
 	Simulate(1000);
@@ -168,7 +168,7 @@
 	ASSERT_EQ(started.size(), 1u);
 	ASSERT_EQ(StopsOf(started[0]), 1u);
 	GoDown("w");
-	ComeBack("w", kBorn + 7000);
+	ComeBack("w", kStarted + 7000);
 	sim["w"].delayed.push_back({ started[0], now + 250 });
 	JoinTelling("x", 4000);
 	for (int i = 0; i < 60; i++) {
@@ -179,16 +179,16 @@
 }
 
 // Guards against a worker that is back, but taken for gone for good.
-TEST_F(SchedLife, AWorkerThatWasReplacedAtItsAddressComesBack)
+TEST_F(SchedRestart, AWorkerThatWasReplacedAtItsAddressComesBack)
 {
 	JoinTelling("w", 4000);
 	Simulate(1000);
 	sim["w"].replaced = true;
 	Simulate(1500);
 	sim["w"].replaced = false;
-	ComeBack("w", kBorn + 7000, false);
+	ComeBack("w", kStarted + 7000, false);
 	const struct resources capacity = { 4000, 64000, 0 };
-	List("w", kBorn + 7000);
+	List("w", kStarted + 7000);
 	sched_worker_listed(
 	    s, sched_worker_find(s, "w"), &capacity, false, 0, now);
 	Add(Graph("a", 1, 1000));
@@ -198,83 +198,84 @@
 
 // Guards against a task that crashes its workers and is never given up, as
 // each worker seems to answer again.
-TEST_F(SchedLife, ACrashIsConfirmedByTheNextLife)
+TEST_F(SchedRestart, ACrashIsConfirmedByTheNextIncarnation)
 {
 	JoinTelling("w", 4000);
 	run_ms["a"] = 50000;
 	Add(Graph("a", 1, 1000));
 	Simulate(1500);
-	Restart("w", kBorn + 7000, 8000); // its lease expires first
+	Restart("w", kStarted + 7000, 8000); // its lease expires first
 	Simulate(1000);
 	ASSERT_GE(lost.size(), 2u);
 	EXPECT_EQ(lost[0].cause, LOSS_LAPSED);
 	EXPECT_EQ(lost[1].cause, LOSS_CONFIRMED);
 }
 
-// Guards against starts by the capacity and labels of the former life, which
-// may have been of another kind.
-TEST_F(SchedLife, NothingStartsUntilTheListTellsThePresentLife)
+// Guards against starts by the capacity and labels of the former incarnation,
+// which may have been of another kind.
+TEST_F(SchedRestart, NothingStartsUntilTheListTellsThePresentIncarnation)
 {
 	JoinTelling("w", 4000);
 	Simulate(1000);
 	GoDown("w");
 	Simulate(500);
-	ComeBack("w", kBorn + 7000, false);
+	ComeBack("w", kStarted + 7000, false);
 	Simulate(1000);
 	Add(Graph("a", 1, 1000));
 	Simulate(1000);
 	EXPECT_EQ(started.size(), 0u);
-	List("w", kBorn + 7000);
+	List("w", kStarted + 7000);
 	Simulate(500);
 	EXPECT_EQ(started.size(), 1u);
 }
 
-// Guards against an entry of the former life, which the store still has, being
-// taken for a restart: the worker can't replace it while it is cut off.
-TEST_F(SchedLife, AnOldEntryInTheListIsNoRestart)
+// Guards against an entry of the former incarnation, which the store still has,
+// being taken for a restart: the worker can't replace it while it is cut off.
+TEST_F(SchedRestart, AnOldEntryInTheListIsNoRestart)
 {
 	JoinTelling("w", 4000);
 	Simulate(1000);
-	Restart("w", kBorn + 7000);
+	Restart("w", kStarted + 7000);
 	Simulate(1000);
 	run_ms["a"] = 2000;
 	Add(Graph("a", 2, 1000));
 	Simulate(1000);
-	List("w", kBorn);
+	List("w", kStarted);
 	Simulate(2000);
 	EXPECT_EQ(StartsOf("a"), 2u);
 	EXPECT_EQ(StateOf("a"), "completed");
 }
 
-// Guards against an end of the former life that is told late, after the next
-// life has numbered more ends, and is taken for one that was processed.
-TEST_F(SchedLife, ALateEndOfTheFormerLifeCounts)
+// Guards against an end of the former incarnation that is told late, after the
+// next incarnation has numbered more ends, and is taken for one that was
+// processed.
+TEST_F(SchedRestart, ALateEndOfTheFormerLifeCounts)
 {
 	struct sched_worker *w = JoinTelling("w", 4000);
 
 	run_ms["a"] = 50000;
 	Add(Graph("a", 1, 1000));
 	Simulate(1000);
-	Restart("w", kBorn + 7000);
+	Restart("w", kStarted + 7000);
 	RunShortJobs(8);
 	poll_finished end = End(3, started[0], END_DONE);
-	struct poll_result late = { kBorn, now, nullptr, 0, &end, 1 };
+	struct poll_result late = { kStarted, now, nullptr, 0, &end, 1 };
 	sched_late_ends_reported(s, w, &late, now);
 	Simulate(100);
 	EXPECT_EQ(StateOf("a"), "completed");
-	EXPECT_GE(w->life.processed, 8u);
+	EXPECT_GE(w->inc.processed, 8u);
 }
 
-// Guards against the end of the present life by a refusal that an order for
-// the former life met at its old address.
-TEST_F(SchedLife, ARefusalMeantForTheFormerLifeEndsNotThePresentOne)
+// Guards against the end of the present incarnation by a refusal that an order
+// for the former incarnation met at its old address.
+TEST_F(SchedRestart, ARefusalMeantForTheFormerLifeEndsNotThePresentOne)
 {
 	struct sched_worker *w = JoinTelling("w", 4000);
 	const struct task_name task = { "gone", 0, 0, 0 };
 
 	Simulate(1000);
-	uint32_t former = w->life.serial;
-	Restart("w", kBorn + 7000);
+	uint32_t former = w->inc.serial;
+	Restart("w", kStarted + 7000);
 	Simulate(1000);
 	sched_stop_answered(
 	    s, w, former, &task, 1, ANSWER_OTHER_INCARNATION, 0, now);
@@ -285,7 +286,7 @@
 
 // Guards against blaming a task for the end of a worker that had said that it
 // leaves, and is back under its id.
-TEST_F(SchedLife, AnAnnouncedRestartIsNoCrash)
+TEST_F(SchedRestart, AnAnnouncedRestartIsNoCrash)
 {
 	JoinTelling("w", 4000);
 	run_ms["a"] = 50000;
@@ -295,7 +296,7 @@
 	Simulate(500);
 	GoDown("w");
 	Simulate(500);
-	ComeBack("w", kBorn + 7000);
+	ComeBack("w", kStarted + 7000);
 	const struct resources capacity = { 4000, 64000, 0 };
 	sched_worker_listed(
 	    s, sched_worker_find(s, "w"), &capacity, false, 0, now);
--- a/tests/test_sched_share.cc
+++ b/tests/test_sched_share.cc
@@ -227,7 +227,7 @@
 		Key key = { r.task.job, r.task.index, run->attempt };
 		self->running[key] = r;
 		self->answers.push_back({ key, run->worker });
-		if (run->worker->life.late_since_ms != 0 && spec->filler)
+		if (run->worker->inc.late_since_ms != 0 && spec->filler)
 			self->starts_beside_late++;
 	}
 	static void
@@ -239,7 +239,7 @@
 
 		self->running.erase({ t->job, t->index, attempt });
 		self->stops++;
-		sched_stop_answered(self->s, w, w->life.serial, t, attempt,
+		sched_stop_answered(self->s, w, w->inc.serial, t, attempt,
 		    ANSWER_OK, self->now, self->now);
 	}
 	static void
