--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -85,8 +85,7 @@
 	stop_gang(s, task->step);
 }
 
-/* A start was not answered: says nothing of an incarnation that came after it.
- */
+/* A lost start says nothing of an incarnation that came after it. */
 static void
 start_call_failed(struct sched *s, const struct sched_run *run, int64_t now_ms)
 {
@@ -478,8 +477,7 @@
 
 	for (i = 0; i < result->nfinished; i++) {
 		end = &result->finished[i];
-		/* The numbers of another incarnation say nothing of this one's.
-		 */
+		/* The numbers of another incarnation are not this one's. */
 		if (result->started_ms == worker->inc.started_ms)
 			process_end(s, worker, end, false, now_ms);
 		else
@@ -526,8 +524,7 @@
 	worker->poll_pending = false;
 	worker_schedule(s, worker);
 	if (!accept_poll(s, worker, answer, now_ms)) {
-		/* The list may be that of an incarnation that is over; ends
-		 * count. */
+		/* Its runs may be those of another incarnation. */
 		if (answer == ANSWER_OK)
 			sched_late_ends_reported(s, worker, result, now_ms);
 		return;
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -93,11 +93,9 @@
 /* A poll was answered by an incarnation that tells this start. */
 void incarnation_answered(
     struct sched *, struct sched_worker *, int64_t started_ms, int64_t now_ms);
-/* The last call was answered, and nothing tells of another incarnation since.
- */
+/* The last call was answered, and nothing told of another one since. */
 bool incarnation_is_proven(const struct sched_worker *);
-/* The entry in the list, with its capacity and labels, is of this incarnation.
- */
+/* The entry in the list, with its capacity and labels, is of this one. */
 bool incarnation_is_listed(const struct sched_worker *);
 
 /* sched_crash.c */
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -199,8 +199,7 @@
 	return n;
 }
 
-/* Another worker answers at the address: this incarnation and its runs are
- * over. */
+/* Another worker answers at the address: what ran on this one is over. */
 void
 worker_incarnation_ended(
     struct sched *s, struct sched_worker *worker, int64_t now_ms)
--- a/tests/test_relaywire.cc
+++ b/tests/test_relaywire.cc
@@ -162,7 +162,7 @@
 
 // Guards against runs of two incarnations being mixed in a list told as a
 // delta.
-TEST_F(RelayWire, AListOfTheNextLifeIsToldAsItIs)
+TEST_F(RelayWire, AListOfTheNextIncarnationIsToldAsItIs)
 {
 	started_ms = 1700000000000;
 	WritePoll(1, 0, { Row(1, "", 10, 5), Row(2, "", 20, 5) });
