Handle no request once the HTTP server is closed

A request whose bytes were already received is parsed in the same pass of the loop, and its handler read the freed data (on_caller_request, platform_config_route). The connections' sockets are shut down by then, but what is in their buffers is still read.

Change: once the server is closed requests are refused with 503 and don't reach the handler. The new test failed before (the handler ran twice) and passes.

--- a/lib/httpd_request.c
+++ b/lib/httpd_request.c
@@ -46,6 +46,12 @@
 	struct httpd *h;
 
 	h = ((struct httpd_handler_slot *)handler)->httpd;
+	/* Its bytes were received before; the handler's context may be gone. */
+	if (h->closing) {
+		h2o_send_error_503(req, "Service Unavailable", "closing",
+		    H2O_SEND_ERROR_HTTP1_CLOSE_CONNECTION);
+		return 0;
+	}
 	r = h2o_mem_alloc_shared(&req->pool, sizeof(*r), on_request_disposed);
 	memset(r, 0, sizeof(*r));
 	r->req = req;
--- a/tests/test_httpd.cc
+++ b/tests/test_httpd.cc
@@ -1,6 +1,7 @@
 // Tests of the HTTP server with a raw TCP client on the same event loop.
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <functional>
 #include <string>
 
@@ -241,6 +242,26 @@
 	until([&] { return client.has("answer 2"); });
 }
 
+// Guards against a handler whose context is freed being called for a request
+// that was already in the connection's buffer when the server was closed.
+TEST_F(HttpdTest, HandlesNoRequestOnceItIsClosed)
+{
+	int n = 0;
+	handler = [&](struct httpd_request *r) {
+		n++;
+		httpd_reply(r, 200, nullptr, 0, "first", 5);
+	};
+	send(kGet);
+	until([&] { return client.has("first"); });
+	uv_buf_t buf = uv_buf_init((char *)kGet, strlen(kGet));
+	ASSERT_EQ((int)strlen(kGet),
+	    uv_try_write((uv_stream_t *)&client.tcp, &buf, 1));
+	httpd_close(httpd);
+	httpd = nullptr;
+	until([&] { return client.closed; });
+	EXPECT_EQ(1, n);
+}
+
 // A graceful shutdown closes the listener and soon after the server.  This
 // used to fail an assertion in h2o, whose shutdown timer was still active.
 TEST_F(HttpdTest, ClosesSoonAfterItStopsListening)
