Log an old configuration: its age, a peer's newer one, the version behind a 404

Nothing told that an entry knew of a newer configuration and didn't get it, how old its own was, or which version a request for an unknown queue was refused by. config_behind tells the first two, once a second; request_refused reason=unknown_queue the third; gauges of the version and its age are on the metrics page. What is known of the newest version moves into core/confsync, apart from the calls. No decision changes.

--- a/entry/members.c
+++ b/entry/members.c
@@ -304,8 +304,7 @@
 	int64_t config;
 
 	config = get_integer(message, "config");
-	if (config > node->peer_config_version)
-		node->peer_config_version = config;
+	confsync_peer_reported(&node->confsync, config, now_ms);
 	if (node->lead == NULL)
 		return;
 	member = add_or_update_member(node, get_text(message, "id"),
@@ -425,8 +424,7 @@
 		node->members_list_term = leader.term;
 	}
 	config = get_integer(message, "config");
-	if (config > node->peer_config_version)
-		node->peer_config_version = config;
+	confsync_peer_reported(&node->confsync, config, now_ms);
 	if (json_is_array(json_object_get(message, "learnt"))) {
 		json_decref(node->learnt);
 		node->learnt = json_incref(json_object_get(message, "learnt"));
@@ -610,7 +608,7 @@
 	    (json_int_t)node->elect.leader.term, "revision",
 	    (json_int_t)node->elect.leader.revision, "store",
 	    (int)lead_has_store(node->lead, now_ms), "config",
-	    (json_int_t)node->config_version, "members", (int)members,
+	    (json_int_t)node->confsync.version, "members", (int)members,
 	    "pending", lead_pending(node->lead), "full", node->full);
 }
 
@@ -689,7 +687,7 @@
 		node->id, "data_center", node->opt.data_center, "address",
 		node->address, "power", node->opt.power, "term",
 		(json_int_t)leader->term, "config",
-		(json_int_t)node->config_version, "carries", RELAY_VERSION,
+		(json_int_t)node->confsync.version, "carries", RELAY_VERSION,
 		"listed",
 		(json_int_t)(node->members_list_term == leader->term ?
 			node->members_list_version :
--- a/entry/node.c
+++ b/entry/node.c
@@ -42,6 +42,7 @@
 	TAILQ_INIT(&node->leader_requests);
 	TAILQ_INIT(&node->answers);
 	running_lists_init(&node->lists);
+	config_init(node);
 	pacer_init(&node->link, LINK_SHARE * options->link_bytes_per_s,
 	    LINK_BURST_MS, clock_now_ms());
 	refused_init(&node->refused, "lagoonpin_record_refused");
@@ -88,13 +89,13 @@
 bool
 node_ready(const struct node *node)
 {
-	return !node->leaving && !node->closing && node->config_version > 0;
+	return !node->leaving && !node->closing && node->confsync.version > 0;
 }
 
 bool
 node_configured(const struct node *node)
 {
-	return node->config_version > 0;
+	return node->confsync.version > 0;
 }
 
 static bool
--- a/entry/node.h
+++ b/entry/node.h
@@ -46,6 +46,18 @@
 bool node_ready(const struct node *);
 /* A configuration is in force. */
 bool node_configured(const struct node *);
+/* The version in force; 0: none yet. */
+int64_t node_config_version(const struct node *);
+/*
+ * Milliseconds since this version was last known to be the newest; -1: it never
+ * was.
+ */
+int64_t node_config_age_ms(const struct node *);
+/*
+ * Sets the gauges of the metrics page that aren't kept up to date.  That of the
+ * configuration's age is left out while the age is unknown.
+ */
+void node_set_gauges(const struct node *);
 
 /*
  * Requests of callers.  Each is answered exactly once, even to a caller that
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "codec.h"
+#include "confsync.h"
 #include "elect.h"
 #include "node.h"
 #include "pacer.h"
@@ -130,13 +131,14 @@
 	struct refused refused; /* unusable items of other writers */
 	uv_timer_t reply_timer;
 	/* configuration */
-	int64_t config_version; /* 0: none yet */
+	struct confsync confsync;
 	const struct entry_config *config;
 	int64_t config_revision; /* the watch continues from here */
 	bool config_reading;
 	bool config_watching;
 	int64_t config_read_ms;
-	int64_t peer_config_version; /* the highest of the other entries */
+	int64_t config_sent_ms; /* when the read in flight was sent */
+	int64_t config_logged_ms; /* last line about a newer version */
 	/* reported by the leader */
 	json_t *learnt; /* interference effects, or NULL */
 	json_t *pending;
@@ -182,6 +184,7 @@
 bool accept_idle(const struct accept *);
 
 /* config.c */
+void config_init(struct node *);
 void config_tick(struct node *, int64_t now_ms);
 
 /* node.c */
