--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -59,6 +59,20 @@
 	}
 };
 
+class Handover;
+
+// One entry's connection to the store, and the configuration that it holds.
+struct Client {
+	Handover *world = nullptr;
+	std::string id;
+	// The store refuses this entry's calls, and serves the others.
+	bool rejected = false;
+	// Watches are neither answered nor failed.
+	bool watch_hangs = false;
+	struct entry_config config = {};
+	std::map<int64_t, int64_t> applied_ms; // by version
+};
+
 // Runs one or more entries, with a simulated store and workers that outlive
 // them.
 class Handover : public ::testing::Test {
@@ -73,9 +87,6 @@
 		queue.terms.max_attempts = 3;
 		queue.terms.stretch = 2;
 		queue.terms.target_ms = 1000;
-		config.version = 1;
-		config.queues = &queue;
-		config.nqueues = 1;
 		Put("c/config", "1");
 	}
 
@@ -106,10 +117,14 @@
 		options.lease_max_ms = kLeaseMs;
 		options.keep_ms = keep_ms;
 		options.harm_ms = 4000;
-		options.kv = { this, Get, Range, Watch, Txn, AnsweredMs,
+		Client &client = clients[id];
+		client = Client();
+		client.world = this;
+		client.id = id;
+		options.kv = { &client, Get, Range, Watch, Txn, AnsweredMs,
 			FailedMs };
 		options.workers = { this, Start, Stop, Pace, Poll };
-		options.platform = { this, "c/", "w/", Config, WorkerEntry,
+		options.platform = { &client, "c/", "w/", Config, WorkerEntry,
 			WorkerId };
 		// Use ports below the range that the system gives to clients;
 		// other programs on the machine may occupy some of them.
@@ -133,6 +148,9 @@
 			nodes.pop_back();
 		}
 		closing = true;
+		for (auto &watch : hanging)
+			watch();
+		hanging.clear();
 		Deliver(INT64_MAX);
 		for (int i = 0; i < 3; i++)
 			uv_run(&loop, UV_RUN_NOWAIT);
@@ -405,8 +423,9 @@
 	// The store.
 
 	void
-	Reply(kv_done *done, void *ctx, enum kv_error error,
-	    const std::vector<std::string> &keys, bool more = false)
+	Reply(const Client *client, kv_done *done, void *ctx,
+	    enum kv_error error, const std::vector<std::string> &keys,
+	    bool more = false)
 	{
 		struct kv_result result;
 		std::vector<struct kv_item> rows;
@@ -426,7 +445,9 @@
 			    copies.back().revision });
 		}
 		memset(&result, 0, sizeof(result));
-		result.error = closing || store_down ? KV_UNAVAILABLE : error;
+		result.error = closing || store_down || client->rejected ?
+		    KV_UNAVAILABLE :
+		    error;
 		result.items = rows.data();
 		result.nitems =
 		    result.error == KV_OK || result.error == KV_CONFLICT ?
@@ -442,24 +463,31 @@
 	{
 		return static_cast<Handover *>(ctx);
 	}
+	static Client *
+	Store(void *ctx)
+	{
+		return static_cast<Client *>(ctx);
+	}
 	static void
 	Get(void *ctx, const char *key_text, kv_done *done, void *done_ctx)
 	{
-		Handover *self = Self(ctx);
+		Client *client = Store(ctx);
+		Handover *self = client->world;
 		std::string key = key_text;
 
 		self->At(kOneWayMs, [=] {
 			std::vector<std::string> keys;
 			if (self->items.count(key))
 				keys.push_back(key);
-			self->Reply(done, done_ctx, KV_OK, keys);
+			self->Reply(client, done, done_ctx, KV_OK, keys);
 		});
 	}
 	static void
 	Range(void *ctx, const char *prefix_text, const char *after_text,
 	    kv_done *done, void *done_ctx)
 	{
-		Handover *self = Self(ctx);
+		Client *client = Store(ctx);
+		Handover *self = client->world;
 		std::string prefix = prefix_text;
 		std::string after = after_text != nullptr ? after_text : "";
 
@@ -478,7 +506,7 @@
 					break;
 				keys.push_back(key);
 			}
-			self->Reply(done, done_ctx, KV_OK, keys, more);
+			self->Reply(client, done, done_ctx, KV_OK, keys, more);
 		});
 	}
 	// The history is always compacted, so the entry reads everything
@@ -487,15 +515,25 @@
 	Watch(void *ctx, const char *, int64_t, int64_t, kv_done *done,
 	    void *done_ctx)
 	{
-		Handover *self = Self(ctx);
+		Client *client = Store(ctx);
+		Handover *self = client->world;
 
-		self->At(kOneWayMs,
-		    [=] { self->Reply(done, done_ctx, KV_COMPACTED, {}); });
+		if (client->watch_hangs)
+			self->hanging.emplace_back([=] {
+				self->Reply(
+				    client, done, done_ctx, KV_UNAVAILABLE, {});
+			});
+		else
+			self->At(kOneWayMs, [=] {
+				self->Reply(
+				    client, done, done_ctx, KV_COMPACTED, {});
+			});
 	}
 	static void
 	Txn(void *ctx, const struct kv_txn *txn, kv_done *done, void *done_ctx)
 	{
-		Handover *self = Self(ctx);
+		Client *client = Store(ctx);
+		Handover *self = client->world;
 		std::vector<std::pair<std::string, int64_t>> compares;
 		std::vector<std::pair<std::string, std::string>> puts;
 		std::vector<std::string> removes;
@@ -511,8 +549,9 @@
 		self->At(kOneWayMs, [=] {
 			std::vector<std::string> keys;
 			bool holds = true;
-			if (self->store_down) {
-				self->Reply(done, done_ctx, KV_UNAVAILABLE, {});
+			if (self->store_down || client->rejected) {
+				self->Reply(
+				    client, done, done_ctx, KV_UNAVAILABLE, {});
 				return;
 			}
 			enum kv_error error = KV_OK;
@@ -520,7 +559,7 @@
 			    !removes.empty())
 				error = self->before_removal(removes);
 			if (error == KV_UNAVAILABLE) {
-				self->Reply(done, done_ctx, error, {});
+				self->Reply(client, done, done_ctx, error, {});
 				return;
 			}
 			for (auto &[key, at] : compares) {
@@ -532,7 +571,8 @@
 					holds = false;
 			}
 			if (!holds) {
-				self->Reply(done, done_ctx, KV_CONFLICT, keys);
+				self->Reply(
+				    client, done, done_ctx, KV_CONFLICT, keys);
 				return;
 			}
 			self->revision++;
@@ -540,18 +580,18 @@
 				self->items[key] = { value, self->revision };
 			for (auto &key : removes)
 				self->items.erase(key);
-			self->Reply(done, done_ctx, error, {});
+			self->Reply(client, done, done_ctx, error, {});
 		});
 	}
 	static int64_t
-	AnsweredMs(void *)
+	AnsweredMs(void *ctx)
 	{
-		return clock_now_ms();
+		return Store(ctx)->rejected ? 0 : clock_now_ms();
 	}
 	static int64_t
-	FailedMs(void *)
+	FailedMs(void *ctx)
 	{
-		return 0;
+		return Store(ctx)->rejected ? clock_now_ms() : 0;
 	}
 
 	// The workers.
@@ -712,10 +752,18 @@
 
 	// Formats of the configuration and the worker registry.
 
+	// The value is the version; only a higher one is taken.
 	static const struct entry_config *
-	Config(void *ctx, const char *, const char *, size_t)
+	Config(void *ctx, const char *, const char *value, size_t len)
 	{
-		return &Self(ctx)->config;
+		Client *client = Store(ctx);
+		int64_t version = std::stoll(std::string(value, len));
+
+		if (version <= client->config.version)
+			return nullptr;
+		client->config = { version, &client->world->queue, 1 };
+		client->applied_ms[version] = clock_now_ms();
+		return &client->config;
 	}
 	static bool
 	WorkerEntry(void *ctx, const char *key, const char *value, size_t len,
@@ -728,9 +776,10 @@
 		strlcpy(info->id, id, sizeof(info->id));
 		strlcpy(info->service, "s", sizeof(info->service));
 		info->capacity = { 8000, 8000, 0 };
-		info->draining = Self(ctx)->workers[id].draining;
-		info->leaves_in_ms = std::max<int64_t>(
-		    0, Self(ctx)->workers[id].leaves_ms - clock_now_ms());
+		Worker &worker = Store(ctx)->world->workers[id];
+		info->draining = worker.draining;
+		info->leaves_in_ms =
+		    std::max<int64_t>(0, worker.leaves_ms - clock_now_ms());
 		return true;
 	}
 	static const char *
@@ -768,7 +817,8 @@
 	std::function<enum kv_error(const std::vector<std::string> &)>
 	    before_removal;
 	struct queue_config queue = {};
-	struct entry_config config = {};
+	std::map<std::string, Client> clients; // by entry
+	std::vector<std::function<void()>> hanging; // watches without an answer
 	std::map<std::string, Item> items;
 	int64_t revision = 1;
 	std::map<std::string, Worker> workers;
