Get the configuration from peers when the store rejects an entry

Callers of an entry that the store rejected were answered by its old configuration for as long as that lasted: 404 for routes that existed, and routes that had been removed were still served.

Cause: the configuration reached an entry over its own calls to the store only. Peers told the number of their version, which made the entry read a store that rejected it, five times a second. And a member that heard the leader read every 9 s, whether or not the leader learnt anything itself.

Now an entry that knows of a newer version asks for its content: first the peer that reported it, then the others in turn. It asks at once if its last read failed, else after 0.25 s, in which the watch usually brings it. On request only, as a configuration is far larger than a heartbeat; an answer that would fill the link isn't sent, and peers of an older release, which don't answer, are asked less and less often. Content goes through the same parser, and only a higher version takes effect.

Heartbeats and hello messages tell how long ago the sender's version was confirmed to be the newest, by the store or by a peer; an echoed time bounds how old the message itself is, so one held up in a queue confirms nothing new. A member reads the store once that is older than 1.6 s. An entry whose knowledge is older than config_apply_ms can't tell that a queue doesn't exist: it answers 503 with Retry-After instead of 404.

The committed test of a restarted entry started it at another address than before, where no peer could reach it; it now keeps its address, and still failed on the old code.

--- a/entry/config.c
+++ b/entry/config.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "clock.h"
@@ -8,14 +9,11 @@
 /*
  * The operators' configuration.  A watch reports changes immediately, but it
  * can be delayed, cut off, or stop delivering without an error.  The key is
- * therefore also read periodically, and when another entry has a newer version.
- * Only a higher version is ever applied.
+ * therefore also read, and peers are asked; core/confsync decides when.  Only a
+ * higher version is ever applied.
  */
 
 #define WATCH_WAIT_MS 10000
-#define RETRY_MS INT64_C(200)
-/* A change must be in force within 2 s even if the watch misses it. */
-#define READ_INTERVAL_MS INT64_C(900)
 /* Interval between log lines while a peer has a newer version. */
 #define BEHIND_LOG_MS 1000
 
@@ -25,6 +23,13 @@
 	confsync_init(&node->confsync);
 }
 
+void
+config_close(struct node *node)
+{
+	free(node->config_value);
+	node->config_value = NULL;
+}
+
 int64_t
 node_config_version(const struct node *node)
 {
@@ -37,18 +42,35 @@
 	return confsync_age_ms(&node->confsync, clock_now_ms());
 }
 
+bool
+node_config_is_fresh(const struct node *node)
+{
+	return confsync_is_fresh(
+	    &node->confsync, node->opt.config_apply_ms, clock_now_ms());
+}
+
+/* Keeps the item for peers that ask for it. */
 static void
-apply(struct node *node, const struct kv_item *item, const char *source)
+keep_item(struct node *node, const struct kv_item *item)
+{
+	free(node->config_value);
+	node->config_len = 0;
+	if ((node->config_value = malloc(item->len + 1)) == NULL) {
+		log_error("config_kept", "error=memory bytes=%zu", item->len);
+		return;
+	}
+	memcpy(node->config_value, item->value, item->len);
+	node->config_value[item->len] = '\0';
+	node->config_len = item->len;
+	strlcpy(node->config_key, item->key, sizeof(node->config_key));
+}
+
+static void
+log_applied(const struct node *node, const struct entry_config *config,
+    const char *source)
 {
-	const struct entry_config *config;
 	int64_t behind_ms;
 
-	if (item->value == NULL)
-		return;
-	config = node->opt.platform.config(
-	    node->opt.platform.self, item->key, item->value, item->len);
-	if (config == NULL)
-		return;
 	behind_ms = node->confsync.behind_ms != 0 ?
 	    clock_now_ms() - node->confsync.behind_ms :
 	    0;
@@ -56,26 +78,49 @@
 	    "version=%lld before=%lld queues=%zu source=%s behind_ms=%lld",
 	    (long long)config->version, (long long)node->confsync.version,
 	    config->nqueues, source, (long long)behind_ms);
+}
+
+enum config_reading
+config_apply(struct node *node, const struct kv_item *item, const char *source)
+{
+	const struct entry_config *config;
+	enum config_reading reading;
+
+	if (item->value == NULL)
+		return CONFIG_OTHER;
+	reading = node->opt.platform.config(node->opt.platform.self, item->key,
+	    item->value, item->len, &config);
+	if (reading != CONFIG_NEWER)
+		return reading;
+	log_applied(node, config, source);
 	node->config = config;
+	keep_item(node, item);
 	confsync_applied(&node->confsync, config->version);
 	if (node->lead != NULL)
 		lead_config(node->lead);
+	return reading;
 }
 
 static void
 on_read(const struct kv_result *result, void *ctx)
 {
 	struct node *node;
+	bool usable;
 	size_t i;
 
 	node = ctx;
 	node->config_reading = false;
-	if (result->error != KV_OK)
+	if (result->error != KV_OK) {
+		confsync_read_failed(&node->confsync);
 		return;
-	for (i = 0; i < result->nitems; i++)
-		apply(node, &result->items[i], "read");
-	confsync_confirmed(
-	    &node->confsync, CONFSYNC_STORE, node->config_sent_ms);
+	}
+	usable = true;
+	for (i = 0; i < result->nitems; i++) {
+		if (config_apply(node, &result->items[i], "read") ==
+		    CONFIG_INVALID)
+			usable = false;
+	}
+	confsync_read_done(&node->confsync, usable);
 	if (node->config_revision == 0)
 		node->config_revision = result->revision;
 }
@@ -91,11 +136,11 @@
 	if (result->error != KV_OK) {
 		/* Compacted, cut off or refused: start over with a read. */
 		node->config_revision = 0;
-		node->config_read_ms = 0;
+		confsync_want_read(&node->confsync);
 		return;
 	}
 	for (i = 0; i < result->nitems; i++)
-		apply(node, &result->items[i], "watch");
+		config_apply(node, &result->items[i], "watch");
 	if (result->revision > node->config_revision)
 		node->config_revision = result->revision;
 }
@@ -134,34 +179,41 @@
 		    (uint64_t)age_ms);
 }
 
+static void
+read_store(struct node *node, int64_t now_ms)
+{
+	const struct kv_ops *kv;
+
+	kv = &node->opt.kv;
+	node->config_reading = true;
+	confsync_read_begin(&node->confsync, now_ms);
+	kv->range(
+	    kv->self, node->opt.platform.config_prefix, NULL, on_read, node);
+}
+
+static void
+watch_store(struct node *node)
+{
+	const struct kv_ops *kv;
+
+	kv = &node->opt.kv;
+	node->config_watching = true;
+	kv->watch(kv->self, node->opt.platform.config_prefix,
+	    node->config_revision, WATCH_WAIT_MS, on_watch, node);
+}
+
 void
 config_tick(struct node *node, int64_t now_ms)
 {
-	const struct platform_ops *platform;
-	int64_t interval_ms;
+	bool has_position;
 
-	platform = &node->opt.platform;
 	log_behind(node, now_ms);
-	/* The leader reads often and announces newer versions. */
-	interval_ms = READ_INTERVAL_MS;
-	if (node->lead == NULL && node->config_revision != 0 &&
-	    !confsync_is_behind(&node->confsync) &&
-	    now_ms - node->elect.heard_ms < RETRY_MS * 2)
-		interval_ms = 10 * READ_INTERVAL_MS;
-	if (confsync_is_behind(&node->confsync) ||
-	    node->confsync.version == 0 || node->config_revision == 0)
-		interval_ms = RETRY_MS;
+	has_position = node->config_revision != 0;
 	if (!node->config_reading &&
-	    now_ms - node->config_read_ms >= interval_ms) {
-		node->config_reading = true;
-		node->config_read_ms = now_ms;
-		node->config_sent_ms = now_ms;
-		node->opt.kv.range(node->opt.kv.self, platform->config_prefix,
-		    NULL, on_read, node);
-	}
-	if (!node->config_watching && node->config_revision != 0) {
-		node->config_watching = true;
-		node->opt.kv.watch(node->opt.kv.self, platform->config_prefix,
-		    node->config_revision, WATCH_WAIT_MS, on_watch, node);
-	}
+	    confsync_read_due(
+		&node->confsync, node->lead != NULL, has_position, now_ms))
+		read_store(node, now_ms);
+	if (!node->config_watching && has_position)
+		watch_store(node);
+	config_peer_tick(node, now_ms);
 }
--- a/entry/members.c
+++ b/entry/members.c
@@ -13,9 +13,6 @@
  * periodically or resent by its sender until answered.
  */
 
-/* Members suspect the leader after the time of four heartbeats. */
-#define HEARTBEAT_MS 150
-#define HELLO_MS 500
 /* A member that sent no hello for this long is removed from the list. */
 #define MEMBER_TIMEOUT_MS 3000
 /*
@@ -301,10 +298,8 @@
 on_hello(struct node *node, const json_t *message, int64_t now_ms)
 {
 	struct member *member;
-	int64_t config;
 
-	config = get_integer(message, "config");
-	confsync_peer_reported(&node->confsync, config, now_ms);
+	config_handle_version(node, message, get_text(message, "id"), now_ms);
 	if (node->lead == NULL)
 		return;
 	member = add_or_update_member(node, get_text(message, "id"),
@@ -318,6 +313,8 @@
 	member->has_store = json_is_true(json_object_get(message, "store"));
 	member->can_relay = get_integer(message, "carries") == RELAY_VERSION;
 	member->listed = (uint64_t)get_integer(message, "listed");
+	config_handle_sync(node, message, member->id, &member->echo, now_ms);
+	member->sync_due = true;
 	set_data_center(node, member, get_text(message, "data_center"));
 }
 
@@ -396,7 +393,6 @@
 	struct elect_leader leader;
 	const json_t *list;
 	uint64_t before;
-	int64_t config;
 
 	memset(&leader, 0, sizeof(leader));
 	strlcpy(leader.id, get_text(message, "id"), sizeof(leader.id));
@@ -423,8 +419,7 @@
 		    (uint64_t)get_integer(message, "listed");
 		node->members_list_term = leader.term;
 	}
-	config = get_integer(message, "config");
-	confsync_peer_reported(&node->confsync, config, now_ms);
+	config_handle_heartbeat(node, message, &leader, now_ms);
 	if (json_is_array(json_object_get(message, "learnt"))) {
 		json_decref(node->learnt);
 		node->learnt = json_incref(json_object_get(message, "learnt"));
@@ -532,6 +527,10 @@
 		leader_requests_handle_request(node, message);
 	else if (strcmp(type, "answer") == 0)
 		leader_requests_handle_answer(node, message);
+	else if (strcmp(type, "config_request") == 0)
+		config_handle_request(node, message);
+	else if (strcmp(type, "config") == 0)
+		config_handle_answer(node, message);
 	else if (strcmp(type, "orders") == 0 || strcmp(type, "answers") == 0)
 		counter_inc_reason("lagoonpin_peer_refused", "older_version");
 	else
@@ -626,6 +625,9 @@
 		json_object_set_new(heartbeat, "listed",
 		    json_integer((json_int_t)node->members_version));
 	}
+	if (member->sync_due)
+		config_add_sync(node, heartbeat, &member->echo, now_ms);
+	member->sync_due = false;
 	return heartbeat;
 }
 
@@ -674,26 +676,28 @@
 }
 
 static bool
-send_hello(struct node *node)
+send_hello(struct node *node, int64_t now_ms)
 {
 	const struct elect_leader *leader;
+	json_t *message;
 
 	leader = &node->elect.leader;
 	if (leader->id[0] == '\0' || strcmp(leader->id, node->id) == 0 ||
 	    peer_connect(node->peer, leader->id, leader->address) != PEER_OK)
 		return true;
-	return members_send(node, leader->id,
-	    json_pack("{ss ss ss ss sf sI sI si sI sb sb}", "t", "hello", "id",
-		node->id, "data_center", node->opt.data_center, "address",
-		node->address, "power", node->opt.power, "term",
-		(json_int_t)leader->term, "config",
-		(json_int_t)node->confsync.version, "carries", RELAY_VERSION,
-		"listed",
-		(json_int_t)(node->members_list_term == leader->term ?
-			node->members_list_version :
-			0),
-		"leaving", (int)node->leaving, "store",
-		(int)node_has_store(node)));
+	message = json_pack("{ss ss ss ss sf sI sI si sI sb sb}", "t", "hello",
+	    "id", node->id, "data_center", node->opt.data_center, "address",
+	    node->address, "power", node->opt.power, "term",
+	    (json_int_t)leader->term, "config",
+	    (json_int_t)node->confsync.version, "carries", RELAY_VERSION,
+	    "listed",
+	    (json_int_t)(node->members_list_term == leader->term ?
+		    node->members_list_version :
+		    0),
+	    "leaving", (int)node->leaving, "store", (int)node_has_store(node));
+	config_add_sync(
+	    node, message, config_leader_echo(node, leader), now_ms);
+	return members_send(node, leader->id, message);
 }
 
 void
@@ -709,6 +713,6 @@
 	if (now_ms - node->hello_ms < HELLO_MS)
 		return;
 	/* While the connection isn't established, retry on every tick. */
-	if (send_hello(node))
+	if (send_hello(node, now_ms))
 		node->hello_ms = now_ms;
 }
--- a/entry/node.c
+++ b/entry/node.c
@@ -43,6 +43,7 @@
 	TAILQ_INIT(&node->answers);
 	running_lists_init(&node->lists);
 	config_init(node);
+	node->opened_ms = clock_now_ms();
 	pacer_init(&node->link, LINK_SHARE * options->link_bytes_per_s,
 	    LINK_BURST_MS, clock_now_ms());
 	refused_init(&node->refused, "lagoonpin_record_refused");
@@ -230,6 +231,7 @@
 	node->full = NULL;
 	json_decref(node->learnt);
 	node->learnt = NULL;
+	config_close(node);
 	uv_timer_stop(&node->timer);
 	uv_close((uv_handle_t *)&node->timer, on_handle_closed);
 	uv_close((uv_handle_t *)&node->reply_timer, on_handle_closed);
--- a/entry/node.h
+++ b/entry/node.h
@@ -25,6 +25,7 @@
 	int64_t lease_max_ms; /* the longest that workers allow */
 	int64_t keep_ms; /* ended jobs are known for so long */
 	int64_t harm_ms; /* a serving task may be late for so long */
+	int64_t config_apply_ms; /* a change is in force within this time */
 	struct kv_ops kv;
 	struct worker_ops workers;
 	struct platform_ops platform;
@@ -53,6 +54,8 @@
  * was.
  */
 int64_t node_config_age_ms(const struct node *);
+/* It was so within the time in which a change has to be in force. */
+bool node_config_is_fresh(const struct node *);
 /*
  * Sets the gauges of the metrics page that aren't kept up to date.  That of the
  * configuration's age is left out while the age is unknown.
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -7,6 +7,7 @@
 
 #include "codec.h"
 #include "confsync.h"
+#include "echo.h"
 #include "elect.h"
 #include "node.h"
 #include "pacer.h"
@@ -28,6 +29,10 @@
 
 #define MEMBERS_MAX 512
 
+/* Members suspect the leader after the time of four heartbeats. */
+#define HEARTBEAT_MS 150
+#define HELLO_MS 500
+
 /* Approximate overhead of a message, a put and a write. */
 #define FRAME_BYTES 80
 #define PUT_BYTES 80
@@ -56,6 +61,8 @@
 	struct relay_writer orders; /* batched for it */
 	uint64_t listed; /* version of the member list that it has */
 	int64_t list_sent_ms;
+	struct echo echo; /* of its hello messages */
+	bool sync_due; /* a hello came since the last heartbeat with a row */
 };
 TAILQ_HEAD(members, member);
 
@@ -136,9 +143,18 @@
 	int64_t config_revision; /* the watch continues from here */
 	bool config_reading;
 	bool config_watching;
-	int64_t config_read_ms;
-	int64_t config_sent_ms; /* when the read in flight was sent */
 	int64_t config_logged_ms; /* last line about a newer version */
+	char config_key[KEY_MAX]; /* the item in force, for peers that ask */
+	char *config_value; /* NULL: none */
+	size_t config_len;
+	char config_teller[ELECT_ID_MAX]; /* reported the highest version */
+	char config_asked[ELECT_ID_MAX]; /* still to be sent a request; "": none
+					  */
+	int64_t opened_ms;
+	/* heartbeats of the leader */
+	struct echo leader_echo;
+	char leader_echo_id[ELECT_ID_MAX];
+	uint64_t leader_echo_incarnation;
 	/* reported by the leader */
 	json_t *learnt; /* interference effects, or NULL */
 	json_t *pending;
@@ -186,6 +202,30 @@
 /* config.c */
 void config_init(struct node *);
 void config_tick(struct node *, int64_t now_ms);
+void config_close(struct node *);
+/* Takes an item of the store; source: where it came from, for the log. */
+enum config_reading config_apply(
+    struct node *, const struct kv_item *, const char *source);
+
+/* config_peer.c: the configuration between entries */
+void config_peer_tick(struct node *, int64_t now_ms);
+/* Adds what we know about the newest version to a message. */
+void config_add_sync(
+    struct node *, json_t *message, const struct echo *, int64_t now_ms);
+/* The echo of a leader's heartbeats; empty if none was received from it. */
+const struct echo *config_leader_echo(
+    struct node *, const struct elect_leader *);
+/* Takes it from a leader's heartbeat. */
+void config_handle_heartbeat(struct node *, const json_t *message,
+    const struct elect_leader *, int64_t now_ms);
+/* Takes the version that a peer has in force. */
+void config_handle_version(
+    struct node *, const json_t *message, const char *from, int64_t now_ms);
+/* Takes that, and how old the peer's knowledge is. */
+void config_handle_sync(struct node *, const json_t *message, const char *from,
+    struct echo *, int64_t now_ms);
+void config_handle_request(struct node *, const json_t *message);
+void config_handle_answer(struct node *, const json_t *message);
 
 /* node.c */
 /* As far as known, the store can be reached. */
--- a/entry/seam.h
+++ b/entry/seam.h
@@ -151,13 +151,21 @@
 	int64_t leaves_in_ms; /* at the earliest, while it drains */
 };
 
+/* What an item of the store is for the configuration. */
+enum config_reading {
+	CONFIG_NEWER, /* the newest configuration so far: it takes effect */
+	CONFIG_NOT_NEWER, /* a configuration, older or the same */
+	CONFIG_INVALID, /* a configuration that can't be used */
+	CONFIG_OTHER /* not the configuration */
+};
+
 struct platform_ops {
 	void *self;
 	const char *config_prefix; /* watched for the configuration */
 	const char *workers_prefix; /* watched for workers */
-	/* NULL: the key isn't the configuration, or the value is invalid. */
-	const struct entry_config *(*config)(
-	    void *self, const char *key, const char *value, size_t len);
+	/* Sets *config if it returns CONFIG_NEWER. */
+	enum config_reading (*config)(void *self, const char *key,
+	    const char *value, size_t len, const struct entry_config **config);
 	/* false: not a worker, or invalid. */
 	bool (*worker)(void *self, const char *key, const char *value,
 	    size_t len, struct worker_info *);
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -99,9 +99,10 @@
 		clock_resume();
 	}
 
-	// Starts an entry; the first one becomes the leader.
+	// Starts an entry; the first one becomes the leader.  same_port: at the
+	// address that it had before.
 	struct node *
-	Open(const char *id = "e1", double power = 1)
+	Open(const char *id = "e1", double power = 1, bool same_port = false)
 	{
 		struct node_options options;
 		struct node *opened = nullptr;
@@ -117,6 +118,7 @@
 		options.lease_max_ms = kLeaseMs;
 		options.keep_ms = keep_ms;
 		options.harm_ms = 4000;
+		options.config_apply_ms = 2000;
 		Client &client = clients[id];
 		client = Client();
 		client.world = this;
@@ -129,7 +131,12 @@
 		// Use ports below the range that the system gives to clients;
 		// other programs on the machine may occupy some of them.
 		for (int i = 0; i < 20 && opened == nullptr; i++) {
-			options.port = 20000 + (getpid() + ports++) % 10000;
+			if (same_port)
+				uv_run(&loop, UV_RUN_NOWAIT);
+			else
+				client_ports[id] =
+				    20000 + (getpid() + ports++) % 10000;
+			options.port = client_ports[id];
 			opened = node_open(&options, &error);
 		}
 		EXPECT_NE(opened, nullptr) << node_strerror(error);
@@ -753,17 +760,19 @@
 	// Formats of the configuration and the worker registry.
 
 	// The value is the version; only a higher one is taken.
-	static const struct entry_config *
-	Config(void *ctx, const char *, const char *value, size_t len)
+	static enum config_reading
+	Config(void *ctx, const char *, const char *value, size_t len,
+	    const struct entry_config **config)
 	{
 		Client *client = Store(ctx);
 		int64_t version = std::stoll(std::string(value, len));
 
 		if (version <= client->config.version)
-			return nullptr;
+			return CONFIG_NOT_NEWER;
 		client->config = { version, &client->world->queue, 1 };
 		client->applied_ms[version] = clock_now_ms();
-		return &client->config;
+		*config = &client->config;
+		return CONFIG_NEWER;
 	}
 	static bool
 	WorkerEntry(void *ctx, const char *key, const char *value, size_t len,
@@ -802,6 +811,7 @@
 	std::vector<struct node *> nodes; // the first one is the leader
 	std::vector<struct node *> leaving;
 	int ports = 0;
+	std::map<std::string, int> client_ports; // by entry
 	// The event loop runs four times per step.  Messages between entries
 	// take real time, so they appear slow unless a step takes about as
 	// long in real time as on the paused clock.
--- a/tests/test_accept.cc
+++ b/tests/test_accept.cc
@@ -42,6 +42,7 @@
 		options.lease_max_ms = 5000;
 		options.keep_ms = 1000;
 		options.harm_ms = 4000;
+		options.config_apply_ms = 2000;
 		options.kv = { this, Get, Range, Watch, Txn, AnsweredMs,
 			FailedMs };
 		options.platform = { this, "c/", "w/", Config, WorkerEntry,
@@ -156,10 +157,11 @@
 	{
 		return Self(self)->failed_ms;
 	}
-	static const struct entry_config *
-	Config(void *, const char *, const char *, size_t)
+	static enum config_reading
+	Config(void *, const char *, const char *, size_t,
+	    const struct entry_config **)
 	{
-		return nullptr;
+		return CONFIG_OTHER;
 	}
 	static bool
 	WorkerEntry(
--- a/tests/test_config_sync.cc
+++ b/tests/test_config_sync.cc
@@ -83,7 +83,7 @@
 {
 	OpenThree();
 	Kill(nodes.back());
-	Open("e3", 1);
+	Open("e3", 1, true);
 	clients["e3"].rejected = true;
 	Pass(2500);
 	EXPECT_EQ(clients["e3"].config.version, 1);
--- a/tests/test_foreign.cc
+++ b/tests/test_foreign.cc
@@ -157,12 +157,15 @@
 
 TEST_F(Foreign, AStateOrServiceThatIsNotNamedNamesNoWorker)
 {
+	const struct entry_config *config;
+
 	EXPECT_FALSE(Worker("servers/a", With("\"ready\"", "\"asleep\"")));
 	EXPECT_EQ(Refused("state"), 1u);
 	// Services are checked once the configuration is known.
 	EXPECT_TRUE(Worker("servers/b", With("\"s\"", "\"u\"")));
-	ASSERT_NE(ops.config(ops.self, "op/config", kConfig, strlen(kConfig)),
-	    nullptr);
+	ASSERT_EQ(ops.config(
+		      ops.self, "op/config", kConfig, strlen(kConfig), &config),
+	    CONFIG_NEWER);
 	EXPECT_FALSE(Worker("servers/b", With("\"s\"", "\"u\"")));
 	EXPECT_EQ(Refused("service_unknown"), 1u);
 	EXPECT_TRUE(Worker("servers/good", kGood));
--- a/tests/test_submit.cc
+++ b/tests/test_submit.cc
@@ -129,8 +129,9 @@
 	size_t len;
 
 	platform_config_ops(w, &ops);
-	config = ops.config(ops.self, "op/config", kConfig, strlen(kConfig));
-	ASSERT_NE(config, nullptr);
+	ASSERT_EQ(ops.config(
+		      ops.self, "op/config", kConfig, strlen(kConfig), &config),
+	    CONFIG_NEWER);
 	EXPECT_EQ(config->version, 7);
 	EXPECT_EQ(platform_config_body_max(w), 1000u);
 	EXPECT_STREQ(
@@ -141,10 +142,12 @@
 	EXPECT_EQ(platform_config_route(w, "other", "/p/1", &len), nullptr);
 	EXPECT_EQ(platform_config_route(w, "h.example", "/x", &len), nullptr);
 	// An older version, as a slow read may return it, is ignored.
-	EXPECT_EQ(ops.config(ops.self, "op/config", kConfig, strlen(kConfig)),
-	    nullptr);
-	EXPECT_EQ(ops.config(ops.self, "op/wave/1", kConfig, strlen(kConfig)),
-	    nullptr);
+	EXPECT_EQ(ops.config(
+		      ops.self, "op/config", kConfig, strlen(kConfig), &config),
+	    CONFIG_NOT_NEWER);
+	EXPECT_EQ(ops.config(
+		      ops.self, "op/wave/1", kConfig, strlen(kConfig), &config),
+	    CONFIG_OTHER);
 	platform_config_close(w);
 }
 
@@ -176,9 +179,11 @@
 
 	platform_config_ops(w, &ops);
 	for (int i = 0; i < 20000; i++) {
+		const struct entry_config *config;
 		struct worker_info info;
 		std::string text = Mutate(random, kConfig);
-		ops.config(ops.self, "op/config", text.data(), text.size());
+		ops.config(
+		    ops.self, "op/config", text.data(), text.size(), &config);
 		memset(&info, 0, sizeof(info));
 		text = Mutate(random, kWorker);
 		ops.worker(
