Stand-in of the store with a second address that rejects; routes that change in the soak

Nothing of ours rejected a part of the entries, and the soak changed no configuration, so neither could show an entry that keeps an old one. The store now serves the same items at a second address, whose callers can get 503, a reset, no answer, or watches without an answer, while the first one serves.

The soak changes routes in series beside such rejections; in the end each entry has to follow a change while every second one is rejected, and none may have gone back.

--- a/mk/soak.sh
+++ b/mk/soak.sh
@@ -113,6 +113,59 @@
 	}'
 }
 
+# Routes that come and go in series, while the store rejects every second entry
+# for a part of the time; drawn apart, too.
+draw_changes()	# SECONDS
+{
+	awk -v seed="$seed" -v seconds="$1" '
+	BEGIN {
+		srand(seed + 3000000)
+		split("busy reset silent watches", modes)
+		for (t = 0.5; t < seconds; t += 0.3 + rand() * 1.5)
+			printf "%.2f routes %d\n", t, rand() * 3
+		for (t = 1; t < seconds; t += 1 + rand() * 3) {
+			printf "%.2f reject %s\n", t, modes[1 + int(rand() * 4)]
+			t += 0.5 + rand() * 4
+			printf "%.2f reject none\n", t
+		}
+	}'
+}
+
+# An operator's change; one that the store refuses is dropped.
+change_routes()	# COUNT
+{
+	version=$((version + 1 + version % 3))
+	p_count=$1
+	set --
+	while [ "$p_count" -gt 0 ]; do
+		set -- "$@" "r$p_count"
+		p_count=$((p_count - 1))
+	done
+	put_config "$version" 1000 "$@" || say "version $version wasn't written"
+}
+
+# Each entry follows a change though the store rejects every second one, and
+# none has gone back to an older version.
+check_changes()
+{
+	wait_everywhere "$entries_n" q 200
+	reject_calls busy
+	version=$((version + 1))
+	write_config "$version" 1000 last
+	wait_everywhere "$entries_n" last 200
+	version=$((version + 1))
+	write_config "$version" 1000
+	wait_everywhere "$entries_n" last 404
+	reject_calls none
+	awk '/event=config_applied/ {
+		match($0, / version=[0-9]+/)
+		after = substr($0, RSTART + 9, RLENGTH - 9) + 0
+		match($0, / before=[0-9]+/)
+		if (after <= substr($0, RSTART + 8, RLENGTH - 8) + 0)
+			exit 1
+	}' "$out"/entry-*.out || fail "a configuration went back"
+}
+
 # An entry that was stopped in order ends well; a killed one can't.
 wait_gone()	# NUMBER
 {
@@ -154,6 +207,8 @@
 	cut) cut_worker "$2" "$3" ;;
 	room) set_room "$2" "$3" ;;
 	crash) crash_worker "$2" "$3" "$4" ;;
+	routes) change_routes "$2" ;;
+	reject) reject_calls "$2" ;;
 	esac
 }
 
@@ -191,15 +246,24 @@
 	draw_schedule "$entries_n" "$workers_n" "$seconds"
 	draw_rooms "$workers_n" "$seconds"
 	draw_crashes "$workers_n" "$seconds"
+	draw_changes "$seconds"
 } | sort -n >"$out/schedule"
 say "$entries_n entries, $workers_n workers, $jobs jobs"
 sed "s/^/$name: /" "$out/schedule"
 start_platform_store
-write_config 1 1000
+version=1
+write_config "$version" 1000
+p_entry=2
+while [ "$p_entry" -le "$entries_n" ]; do
+	eval "entry_${p_entry}_store=\$second_store"
+	p_entry=$((p_entry + 2))
+done
 start_platform_workers "$workers_n" --cpu-millis "$room_cpu" --keep-ids
 start_platform_entries "$entries_n"
 start_callers --jobs "$jobs" --every-ms 100
 play <"$out/schedule"
+reject_calls none
 check_platform
+check_changes
 all_live
 say "clean"
--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -6,10 +6,13 @@
 host=jobs.example
 prefix=/q/
 
+# The second address serves the same items; see reject_calls.
 start_platform_store()	# ARG...
 {
 	store=127.0.0.1:$base
-	start store platstand store --listen "$store" --seed "$fleet_seed" "$@"
+	second_store=127.0.0.1:$((base + 39))
+	start store platstand store --listen "$store" --second-port \
+	    "$((base + 39))" --seed "$fleet_seed" "$@"
 	wait_for "the store" answers "$store/stats"
 }
 
@@ -30,15 +33,55 @@
 	    jq '.items | length')" = "$1" ]
 }
 
-write_config()	# VERSION TARGET-MS : writes it as an operator does
+# put_config VERSION TARGET-MS ROUTE... : writes it as an operator does, with a
+# route of prefix /ROUTE/ for each further argument.  Fails unless the store
+# acknowledged it.
+put_config()
 {
-	p_config=$(printf '{"version":%s,"routes":[{"name":"q","host":"%s",
-	    "prefix":"%s","service":"custodio","max_attempts":4,"stretch":2,
-	    "target_latency_ms":%s}],"services":[{"name":"custodio"}]}' \
-	    "$1" "$host" "$prefix" "$2" | base64 -w0)
+	p_version=$1
+	p_target=$2
+	shift 2
+	p_routes=$(printf '{"name":"q","host":"%s","prefix":"%s",
+	    "service":"custodio","max_attempts":4,"stretch":2,
+	    "target_latency_ms":%s}' "$host" "$prefix" "$p_target")
+	for p_route; do
+		p_routes=$p_routes$(printf ',{"name":"%s","host":"%s",
+		    "prefix":"/%s/","service":"custodio"}' \
+		    "$p_route" "$host" "$p_route")
+	done
+	p_config=$(printf '{"version":%s,"routes":[%s],
+	    "services":[{"name":"custodio"}]}' "$p_version" "$p_routes" |
+	    base64 -w0)
 	get -f -o /dev/null -H 'X-Platform-Writer: 1' -d \
 	    "{\"writes\":[{\"key\":\"op/config\",\"value\":\"$p_config\"}]}" \
-	    "$store/kv-txn" || fail "the store refused the configuration"
+	    "$store/kv-txn"
+}
+
+write_config()	# as put_config
+{
+	put_config "$@" || fail "the store refused the configuration"
+}
+
+queue_status()	# ENTRY ROUTE : of a request that counts its waiting jobs
+{
+	get -o /dev/null -w '%{http_code}' -H "Host: $host" \
+	    "http://$(front_of "$1")/$2/"
+}
+
+has_status()	# ENTRY ROUTE STATUS
+{
+	[ "$(queue_status "$1" "$2")" = "$3" ]
+}
+
+# wait_everywhere ENTRIES ROUTE STATUS : all entries answer so for the route.
+wait_everywhere()
+{
+	p_entry=1
+	while [ "$p_entry" -le "$1" ]; do
+		wait_for "$3 for route $2 at entry $p_entry" \
+		    has_status "$p_entry" "$2" "$3"
+		p_entry=$((p_entry + 1))
+	done
 }
 
 set_store_fault()	# MODE [SHARE]
@@ -47,6 +90,14 @@
 	    "$store/fault" || fail "the store refused the fault $1"
 }
 
+# reject_calls MODE : how calls to the second address of the store are rejected
+# while the first one serves: busy, reset, silent, watches, or none.
+reject_calls()
+{
+	get -f -o /dev/null -d "{\"mode\":\"$1\"}" "$second_store/reject" ||
+	    fail "the store refused to reject calls: $1"
+}
+
 # cut_worker NUMBER MS : makes it unreachable for MS; its tasks continue.
 cut_worker()
 {
@@ -83,7 +134,7 @@
 	 "internal_ports":[$((p_port + 2)),$((p_port + 2))],
 	 "limits":{"cpu_share":0.5,"link_mbps":200},
 	 "bounds":{"max_hold_ms":6000,"grace_s":${grace_s:-6},"status_s":120},
-	 "platform":{"address":"$store"}}
+	 "platform":{"address":"$(eval "echo \${entry_$1_store:-$store}")"}}
 	EOF
 }
 
