--- a/tests/test_submit.cc
+++ b/tests/test_submit.cc
@@ -10,6 +10,7 @@
 #include "codec.h"
 #include "submit.h"
 #include "config.h"
+#include "counter.h"
 }
 
 namespace {
@@ -151,6 +152,58 @@
 	platform_config_close(w);
 }
 
+// Guards against a long name keeping all later versions out of force.
+TEST(PlatformConfig, LongHostsAndPrefixesAreTaken)
+{
+	struct platform_config *w = platform_config_open();
+	const struct entry_config *config;
+	struct platform_ops ops;
+	std::string host(253, 'h'), prefix = "/" + std::string(198, 'p') + "/";
+	std::string text = "{\"version\":8,\"routes\":[{\"name\":\"a\","
+			   "\"host\":\"" +
+	    host + "\",\"prefix\":\"" + prefix +
+	    "\",\"service\":\"s\"}],\"services\":[]}";
+	size_t len;
+
+	platform_config_ops(w, &ops);
+	EXPECT_EQ(ops.config(
+		      ops.self, "op/config", text.data(), text.size(), &config),
+	    CONFIG_NEWER);
+	EXPECT_NE(platform_config_route(
+		      w, host.c_str(), (prefix + "1").c_str(), &len),
+	    nullptr);
+	platform_config_close(w);
+}
+
+// Guards against an invalid version taking effect in part, and against a line
+// and a count for each read of it.
+TEST(PlatformConfig, AnInvalidVersionChangesNothingAndIsCountedOnce)
+{
+	struct platform_config *w = platform_config_open();
+	const struct entry_config *config;
+	struct platform_ops ops;
+	std::string text = kConfig;
+	size_t len;
+
+	counter_reset();
+	platform_config_ops(w, &ops);
+	ASSERT_EQ(ops.config(
+		      ops.self, "op/config", text.data(), text.size(), &config),
+	    CONFIG_NEWER);
+	text.replace(text.find("\"version\":7"), 11, "\"version\":9");
+	text.replace(text.find("\"host\":"), 7, "\"hast\":");
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(ops.config(ops.self, "op/config", text.data(),
+			      text.size(), &config),
+		    CONFIG_INVALID);
+	EXPECT_EQ(counter_value(counter_get(
+		      "lagoonpin_config_refused", "reason=\"field\"")),
+	    1u);
+	EXPECT_NE(platform_config_route(w, "h.example", "/p/1", &len), nullptr);
+	EXPECT_EQ(platform_config_body_max(w), 1000u);
+	platform_config_close(w);
+}
+
 TEST(PlatformConfig, ReadsAWorker)
 {
 	struct platform_config *w = platform_config_open();
