Tell the leader the version that a job was accepted under

A leader that the store rejects learnt of a newer version by the members' hello messages, up to 0.5 s late. Until then it starts jobs that were accepted under that version, so workers see its effects, and answers its own callers by the older one for longer than the 0.25 s that the users allow.

Requests to the leader carry the version of their entry; the leader then asks for it at once.

--- a/entry/leader_request.c
+++ b/entry/leader_request.c
@@ -122,10 +122,10 @@
 	if (node->elect.leader.id[0] == '\0' ||
 	    strcmp(node->elect.leader.id, node->id) == 0)
 		return;
-	message =
-	    json_pack("{ss ss ss sI ss ss}", "t", "request", "id", node->id,
-		"address", node->address, "number", (json_int_t)req->number,
-		"kind", kind_names[req->kind], "job", req->job);
+	message = json_pack("{ss ss ss sI ss ss sI}", "t", "request", "id",
+	    node->id, "address", node->address, "number",
+	    (json_int_t)req->number, "kind", kind_names[req->kind], "job",
+	    req->job, "config", (json_int_t)node->confsync.version);
 	if (req->body != NULL) {
 		json_object_set_new(
 		    message, "body", json_stringn(req->body, req->body_len));
@@ -175,6 +175,11 @@
 	    kind == NULL || job == NULL ||
 	    peer_connect(node->peer, from, address) != PEER_OK)
 		return;
+	/*
+	 * What follows from a newer version mustn't be started while our own
+	 * callers are answered by an older one.
+	 */
+	config_handle_version(node, message, from, clock_now_ms());
 	for (i = 0; i < sizeof(kind_names) / sizeof(kind_names[0]); i++) {
 		if (strcmp(kind, kind_names[i]) != 0)
 			continue;
--- a/tests/test_config_sync.cc
+++ b/tests/test_config_sync.cc
@@ -4,6 +4,9 @@
 
 // The users' bound on a change of the configuration.
 constexpr int64_t kApplyMs = 2000;
+// Once workers see the effect of a version, no entry may use an older one for
+// longer than this.
+constexpr int64_t kRollbackMs = 250;
 
 // Three entries, the first of which leads; changes follow each other.
 class ConfigSync : public Handover {
@@ -40,6 +43,22 @@
 		return longest;
 	}
 
+	// Hands a job in at an entry.
+	void
+	SubmitAt(struct node *node, const std::string &id)
+	{
+		struct graph *g = graph_new(1);
+
+		strlcpy(g->id, id.c_str(), sizeof(g->id));
+		strlcpy(g->queue, "q", sizeof(g->queue));
+		g->terms = queue.terms;
+		g->payload = strdup("p");
+		g->steps[0].count = 1;
+		g->steps[0].size = { 1000, 100, 0 };
+		g->steps[0].estimate_ms = 100;
+		node_submit(node, g, clock_now_ms() + 3000, Replied, this);
+	}
+
 	static int64_t
 	Delay(const Client &client, int64_t version, int64_t from_ms)
 	{
@@ -99,3 +118,25 @@
 	clients["e1"].rejected = true;
 	EXPECT_LT(LongestDelay(1, 4000), kApplyMs);
 }
+
+// Guards against a leader that starts a job accepted by a newer version than
+// its own, and goes on to answer its own callers by the older one.
+TEST_F(ConfigSync, AJobTakesItsVersionToTheLeader)
+{
+	OpenThree();
+	for (int64_t n = 0; n < 5; n++) {
+		int64_t version = ++last_version;
+
+		clients["e1"].rejected = true;
+		Put("c/config", std::to_string(version));
+		// At another time between two hello messages.
+		Pass(100 + n * 2 * kStepMs);
+		int64_t from_ms = clock_now_ms();
+		SubmitAt(nodes[1], "job" + std::to_string(n));
+		Pass(400);
+		EXPECT_LE(Delay(clients["e1"], version, from_ms), kRollbackMs);
+		clients["e1"].rejected = false;
+		Pass(1500);
+	}
+	EXPECT_EQ(accepted, 5);
+}
