Announce a newer configuration at once, and ask for it sooner

While the store is silent an entry doesn't know yet that it is rejected. It learnt of a newer version with the next heartbeat (0.15 s) and gave its own watch 0.25 s more before it asked. Orders that follow from that version are relayed meanwhile, so workers see its effects from an entry that answers its own callers by the older one for longer than the 0.25 s that the users allow.

--- a/core/confsync.h
+++ b/core/confsync.h
@@ -24,7 +24,7 @@
 /* Interval of reads while a newer version is known, or none at all is. */
 #define CONFSYNC_RETRY_MS INT64_C(200)
 /* The store's own watch brings most versions within this time. */
-#define CONFSYNC_ASK_DELAY_MS INT64_C(250)
+#define CONFSYNC_ASK_DELAY_MS INT64_C(100)
 /* The first peer that was asked gets this time before the next one is. */
 #define CONFSYNC_ASK_RETRY_MS INT64_C(300)
 
--- a/entry/config.c
+++ b/entry/config.c
@@ -96,8 +96,14 @@
 	node->config = config;
 	keep_item(node, item);
 	confsync_applied(&node->confsync, config->version);
-	if (node->lead != NULL)
+	if (node->lead != NULL) {
 		lead_config(node->lead);
+		/*
+		 * Members relay what follows from this version, and have to
+		 * answer their callers by it soon: tell them at once.
+		 */
+		node->heartbeat_ms = 0;
+	}
 	return reading;
 }
 
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -67,8 +67,9 @@
 	std::string id;
 	// The store refuses this entry's calls, and serves the others.
 	bool rejected = false;
-	// Watches are neither answered nor failed.
+	// Watches, or all reads, are neither answered nor failed.
 	bool watch_hangs = false;
+	bool reads_hang = false;
 	struct entry_config config = {};
 	std::map<int64_t, int64_t> applied_ms; // by version
 };
@@ -144,6 +145,17 @@
 		return opened;
 	}
 
+	// Calls that were left without an answer fail.
+	void
+	AnswerHanging()
+	{
+		auto calls = std::move(hanging);
+
+		hanging.clear();
+		for (auto &call : calls)
+			call();
+	}
+
 	// Simulates a kill: no entry notifies anybody.  All pending calls are
 	// answered once, also when nobody waits for the answer any more.
 	void
@@ -155,9 +167,7 @@
 			nodes.pop_back();
 		}
 		closing = true;
-		for (auto &watch : hanging)
-			watch();
-		hanging.clear();
+		AnswerHanging();
 		Deliver(INT64_MAX);
 		for (int i = 0; i < 3; i++)
 			uv_run(&loop, UV_RUN_NOWAIT);
@@ -499,7 +509,13 @@
 		std::string after = after_text != nullptr ? after_text : "";
 
 		self->reads[prefix]++;
-
+		if (client->reads_hang) {
+			self->hanging.emplace_back([=] {
+				self->Reply(
+				    client, done, done_ctx, KV_UNAVAILABLE, {});
+			});
+			return;
+		}
 		self->At(kOneWayMs, [=] {
 			std::vector<std::string> keys;
 			bool more = false;
@@ -525,7 +541,7 @@
 		Client *client = Store(ctx);
 		Handover *self = client->world;
 
-		if (client->watch_hangs)
+		if (client->watch_hangs || client->reads_hang)
 			self->hanging.emplace_back([=] {
 				self->Reply(
 				    client, done, done_ctx, KV_UNAVAILABLE, {});
@@ -828,7 +844,7 @@
 	    before_removal;
 	struct queue_config queue = {};
 	std::map<std::string, Client> clients; // by entry
-	std::vector<std::function<void()>> hanging; // watches without an answer
+	std::vector<std::function<void()>> hanging; // calls without an answer
 	std::map<std::string, Item> items;
 	int64_t revision = 1;
 	std::map<std::string, Worker> workers;
--- a/tests/test_config_sync.cc
+++ b/tests/test_config_sync.cc
@@ -140,3 +140,18 @@
 	}
 	EXPECT_EQ(accepted, 5);
 }
+
+// Guards against an entry that relays orders of a newer version than the one it
+// answers its callers by, while it doesn't know yet that the store is silent.
+TEST_F(ConfigSync, AVersionReachesASilencedFollowerBeforeItsEffectsMatter)
+{
+	OpenThree();
+	for (int64_t n = 0; n < 5; n++) {
+		clients["e3"].reads_hang = true;
+		Pass(200 + n * kStepMs);
+		EXPECT_LE(LongestDelay(1, 600), kRollbackMs);
+		clients["e3"].reads_hang = false;
+		AnswerHanging();
+		Pass(1000);
+	}
+}
