--- a/core/confsync.h
+++ b/core/confsync.h
@@ -25,7 +25,7 @@
 #define CONFSYNC_RETRY_MS INT64_C(200)
 /* The store's own watch brings most versions within this time. */
 #define CONFSYNC_ASK_DELAY_MS INT64_C(100)
-/* The first peer that was asked gets this time before the next one is. */
+/* The first peer asked gets this time; the next one is asked then. */
 #define CONFSYNC_ASK_RETRY_MS INT64_C(300)
 
 /* Who last confirmed that the version in force is the newest. */
@@ -41,7 +41,7 @@
 	int64_t behind_ms; /* since when a peer has a newer one; 0: none has */
 	bool read_wanted; /* at once */
 	int64_t read_ms; /* start of the last read */
-	bool read_failed; /* as far as the last read is known */
+	bool read_failed; /* the last read that has ended */
 	int64_t asked_ms; /* when a peer was last asked */
 	uint32_t asks; /* since a version took effect */
 };
@@ -64,8 +64,10 @@
  */
 void confsync_read_done(struct confsync *, bool usable);
 
-/* A peer reported the version that it has in force.  Returns true if it is
- * higher than any before. */
+/*
+ * A peer reported the version that it has in force.  Returns true if it is
+ * higher than any before.
+ */
 bool confsync_peer_reported(struct confsync *, int64_t version, int64_t now_ms);
 /* At that time a peer knew that version to be the newest. */
 void confsync_peer_confirmed(struct confsync *, int64_t version, int64_t at_ms);
@@ -78,7 +80,10 @@
 bool confsync_is_fresh(const struct confsync *, int64_t max_ms, int64_t now_ms);
 const char *confsync_source_name(enum confsync_source);
 
-/* Whether to read now.  watching: a watch continues from the last read. */
+/*
+ * Whether to read now.  leads: this entry leads; watching: it has a revision to
+ * continue a watch from.
+ */
 bool confsync_read_due(
     const struct confsync *, bool leads, bool watching, int64_t now_ms);
 /* Whether to ask a peer, another one than before. */
--- a/entry/config_peer.c
+++ b/entry/config_peer.c
@@ -66,7 +66,8 @@
 
 	version = json_integer_value(json_object_get(message, "config"));
 	if (confsync_peer_reported(&node->confsync, version, now_ms))
-		strlcpy(node->config_teller, from, sizeof(node->config_teller));
+		strlcpy(
+		    node->config_reporter, from, sizeof(node->config_reporter));
 }
 
 void
@@ -118,20 +119,20 @@
 	uint32_t n, turn;
 
 	if (node->confsync.asks == 0)
-		return node->config_teller;
+		return node->config_reporter;
 	n = 0;
 	TAILQ_FOREACH (member, &node->members, link) {
 		if (strcmp(member->id, node->id) != 0)
 			n++;
 	}
 	if (n == 0)
-		return node->config_teller;
+		return node->config_reporter;
 	turn = (node->confsync.asks - 1) % n;
 	TAILQ_FOREACH (member, &node->members, link) {
 		if (strcmp(member->id, node->id) != 0 && turn-- == 0)
 			return member->id;
 	}
-	return node->config_teller;
+	return node->config_reporter;
 }
 
 /* Returns true once the request is on its way. */
@@ -153,17 +154,16 @@
 config_peer_tick(struct node *node, int64_t now_ms)
 {
 	if (confsync_ask_due(&node->confsync, now_ms)) {
-		strlcpy(node->config_asked, choose_peer(node),
-		    sizeof(node->config_asked));
+		strlcpy(node->config_ask, choose_peer(node),
+		    sizeof(node->config_ask));
 		confsync_ask_begin(&node->confsync, now_ms);
 		counter_inc("lagoonpin_config_requests", "");
 	}
 	if (!confsync_is_behind(&node->confsync))
-		node->config_asked[0] = '\0';
+		node->config_ask[0] = '\0';
 	/* A peer that isn't connected yet takes the request a little later. */
-	if (node->config_asked[0] != '\0' &&
-	    send_request(node, node->config_asked))
-		node->config_asked[0] = '\0';
+	if (node->config_ask[0] != '\0' && send_request(node, node->config_ask))
+		node->config_ask[0] = '\0';
 }
 
 /* The reason for not answering; NULL: none. */
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -62,7 +62,7 @@
 	uint64_t listed; /* version of the member list that it has */
 	int64_t list_sent_ms;
 	struct echo echo; /* of its hello messages */
-	bool sync_due; /* a hello came since the last heartbeat with a row */
+	bool sync_due; /* the next heartbeat answers a hello message */
 };
 TAILQ_HEAD(members, member);
 
@@ -147,12 +147,10 @@
 	char config_key[KEY_MAX]; /* the item in force, for peers that ask */
 	char *config_value; /* NULL: none */
 	size_t config_len;
-	char config_teller[ELECT_ID_MAX]; /* reported the highest version */
-	char config_asked[ELECT_ID_MAX]; /* still to be sent a request; "": none
-					  */
-	int64_t opened_ms;
-	/* heartbeats of the leader */
-	struct echo leader_echo;
+	char config_reporter[ELECT_ID_MAX]; /* of the highest version */
+	char config_ask[ELECT_ID_MAX]; /* gets a request next; "": nobody */
+	int64_t opened_ms; /* start of this process */
+	struct echo leader_echo; /* of the heartbeats of this leader: */
 	char leader_echo_id[ELECT_ID_MAX];
 	uint64_t leader_echo_incarnation;
 	/* reported by the leader */
@@ -209,19 +207,19 @@
 
 /* config_peer.c: the configuration between entries */
 void config_peer_tick(struct node *, int64_t now_ms);
-/* Adds what we know about the newest version to a message. */
+/* Adds how long ago our version was confirmed to be the newest. */
 void config_add_sync(
     struct node *, json_t *message, const struct echo *, int64_t now_ms);
-/* The echo of a leader's heartbeats; empty if none was received from it. */
+/* The echo of a leader's heartbeats; begins anew with another leader. */
 const struct echo *config_leader_echo(
     struct node *, const struct elect_leader *);
-/* Takes it from a leader's heartbeat. */
+/* Takes the leader's version and the age of what it knows. */
 void config_handle_heartbeat(struct node *, const json_t *message,
     const struct elect_leader *, int64_t now_ms);
 /* Takes the version that a peer has in force. */
 void config_handle_version(
     struct node *, const json_t *message, const char *from, int64_t now_ms);
-/* Takes that, and how old the peer's knowledge is. */
+/* Takes that, and the age of what the peer knows. */
 void config_handle_sync(struct node *, const json_t *message, const char *from,
     struct echo *, int64_t now_ms);
 void config_handle_request(struct node *, const json_t *message);
--- a/tests/process/platform_rejected_entries.sh
+++ b/tests/process/platform_rejected_entries.sh
@@ -38,3 +38,11 @@
 wait "$entry_3_pid"
 start_platform_entry 3
 change_routes restarted
+
+# Without the store nobody can tell that a queue doesn't exist; what is known
+# is served on.
+set_store_fault busy
+wait_everywhere 3 missing 503
+wait_everywhere 3 q 200
+set_store_fault none
+wait_everywhere 3 missing 404
