Fixture: answer a killed entry's calls before its memory is freed

A restart at the same address runs the loop, which frees the killed entry, while the fixture still held an answer for it.

--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -182,6 +182,7 @@
 	{
 		node_close(node);
 		nodes.erase(std::find(nodes.begin(), nodes.end(), node));
+		Deliver(clock_now_ms() + kOneWayMs);
 	}
 
 	// Stops the leader gracefully: it resigns, and another entry takes
