Take a refusal for want of room as news of that worker

Cause: a worker that has shrunk and checks admission refuses each start, and the leader learnt nothing from it: the task was tried again after 20 ms, and as the worker looked the emptiest it was chosen again, up to 1,400 times a second, each with two lines of log.

A refusal now limits the worker's room to what is reserved there, in struct room, which placing, headroom, moves and gangs read. The limit ends when the list of workers tells another capacity, and after a pause of 0.5 s, which doubles with each trial up to 8 s, one task is tried, as room may grow without a word of it. Other refusals (late, old) say nothing of room; their task avoids that worker. A worker's refusals are logged at their begin and end, with their number; lagoonpin_start_refused counts them by reason.

Why this is enough for its share: no more than the starts under way at the first refusal and one a pause can be refused.

--- a/bench/lead_cost.c
+++ b/bench/lead_cost.c
@@ -122,9 +122,18 @@
 	(void)s, (void)ctx;
 }
 
+static void
+on_no_room(struct sched *s, struct sched_worker *worker, bool over, void *ctx)
+{
+	(void)s;
+	(void)worker;
+	(void)over;
+	(void)ctx;
+}
+
 static const struct sched_actions actions = { on_start, on_stop, on_pace,
 	on_look, on_record, on_job, on_lapsed, on_lost, on_record, on_save,
-	on_job, on_deposed };
+	on_job, on_deposed, on_no_room };
 
 static void
 add_job(struct fleet *f)
--- a/core/room.c
+++ b/core/room.c
@@ -38,11 +38,19 @@
 	return ROOM_OK;
 }
 
+bool
+resources_equal(const struct resources *a, const struct resources *b)
+{
+	return a->cpu_millis == b->cpu_millis &&
+	    a->memory_mib == b->memory_mib &&
+	    a->accelerators == b->accelerators;
+}
+
 void
 room_init(struct room *room, const struct resources *capacity)
 {
+	*room = (struct room){ 0 };
 	room->capacity = *capacity;
-	room->used = (struct resources){ 0, 0, 0 };
 }
 
 void
@@ -51,17 +59,69 @@
 	room->capacity = *capacity;
 }
 
+static int64_t
+lower(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+static struct resources
+lower_of_each(const struct resources *a, const struct resources *b)
+{
+	struct resources lowest;
+
+	lowest.cpu_millis = lower(a->cpu_millis, b->cpu_millis);
+	lowest.memory_mib = lower(a->memory_mib, b->memory_mib);
+	lowest.accelerators = lower(a->accelerators, b->accelerators);
+	return lowest;
+}
+
+/* The recorded capacity, or the limit where that is lower. */
+static struct resources
+usable_capacity(const struct room *room)
+{
+	if (!room->limited)
+		return room->capacity;
+	return lower_of_each(&room->capacity, &room->limit);
+}
+
+void
+room_limit(struct room *room)
+{
+	if (room->limited)
+		room->limit = lower_of_each(&room->limit, &room->used);
+	else
+		room->limit = room->used;
+	room->limited = true;
+}
+
+void
+room_lift_limit(struct room *room)
+{
+	room->limited = false;
+}
+
+void
+room_get_free(const struct room *room, struct resources *left)
+{
+	*left = usable_capacity(room);
+	left->cpu_millis -= room->used.cpu_millis;
+	left->memory_mib -= room->used.memory_mib;
+	left->accelerators -= room->used.accelerators;
+}
+
 enum room_error
 room_check(const struct room *room, const struct resources *amount)
 {
-	struct resources total;
+	struct resources total, capacity;
 	enum room_error error;
 
 	if ((error = sum(&room->used, amount, &total)) != ROOM_OK)
 		return error;
 	if (!fits(amount, &room->capacity))
 		return ROOM_ERR_TOO_LARGE;
-	return fits(&total, &room->capacity) ? ROOM_OK : ROOM_ERR_FULL;
+	capacity = usable_capacity(room);
+	return fits(&total, &capacity) ? ROOM_OK : ROOM_ERR_FULL;
 }
 
 enum room_error
--- a/core/room.h
+++ b/core/room.h
@@ -18,9 +18,13 @@
 	int64_t accelerators;
 };
 
+bool resources_equal(const struct resources *, const struct resources *);
+
 struct room {
 	struct resources capacity;
 	struct resources used;
+	bool limited;
+	struct resources limit; /* while limited: the capacity at most */
 };
 
 enum room_error {
@@ -36,6 +40,16 @@
 /* A VM that shrinks keeps its reservations and is full until they fit. */
 void room_set_capacity(struct room *, const struct resources *capacity);
 
+/*
+ * The VM has refused a request for want of capacity: it has no more than what
+ * is reserved now, whatever its recorded capacity says.
+ */
+void room_limit(struct room *);
+void room_lift_limit(struct room *);
+
+/* What can still be reserved; negative amounts in a VM that has shrunk. */
+void room_get_free(const struct room *, struct resources *);
+
 /* Whether room_reserve() would succeed. */
 enum room_error room_check(const struct room *, const struct resources *);
 enum room_error room_reserve(struct room *, const struct resources *);
--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -85,6 +85,21 @@
 	stop_gang(s, task->step);
 }
 
+/* The worker has less room than the list of workers tells. */
+static void
+start_without_room(struct sched *s, struct sched_run *run, int64_t now_ms)
+{
+	struct sched_worker *worker;
+	bool present, trial;
+
+	worker = run->worker;
+	present = run->incarnation == worker->inc.serial;
+	trial = run->trial;
+	start_failed(s, run, REFUSED_RETRY_MS, now_ms);
+	if (present)
+		refusal_no_room(s, worker, trial, now_ms);
+}
+
 /* A lost start says nothing of an incarnation that came after it. */
 static void
 start_call_failed(struct sched *s, const struct sched_run *run, int64_t now_ms)
@@ -131,6 +146,7 @@
 		run->begun_ms = now_ms;
 		run->percent_ms = now_ms;
 		job_mark_begun(task_job(run->task));
+		refusal_start_taken(s, run);
 		break;
 	case ANSWER_LOST:
 		start_unconfirmed(s, run, now_ms);
@@ -146,7 +162,11 @@
 	case ANSWER_REFUSED:
 		start_failed(s, run, INVALID_RETRY_MS, now_ms);
 		break;
+	case ANSWER_NO_ROOM:
+		start_without_room(s, run, now_ms);
+		break;
 	default:
+		run->task->avoid = worker->inc.serial;
 		start_failed(s, run, REFUSED_RETRY_MS, now_ms);
 		break;
 	}
--- a/core/sched_drain.c
+++ b/core/sched_drain.c
@@ -77,14 +77,12 @@
 {
 	struct sched_worker *worker;
 	const struct sched_run *run;
-	const struct room *room;
+	struct resources left;
 
 	RB_FOREACH (worker, sched_worker_tree, &p->s->workers) {
-		room = &worker->room;
-		if (worker_usable(worker, p->now_ms) &&
-		    room->capacity.cpu_millis > room->used.cpu_millis)
-			p->free_cpu +=
-			    room->capacity.cpu_millis - room->used.cpu_millis;
+		room_get_free(&worker->room, &left);
+		if (worker_usable(worker, p->now_ms) && left.cpu_millis > 0)
+			p->free_cpu += left.cpu_millis;
 		TAILQ_FOREACH (run, &worker->runs, by_worker) {
 			if (run->task->step->spec->lasts && run->stop_wanted)
 				p->moving_cpu +=
--- a/core/sched_headroom.c
+++ b/core/sched_headroom.c
@@ -106,16 +106,15 @@
 add_free(struct sched *s, const char *service, struct sched_headroom *room)
 {
 	struct sched_worker *worker;
-	int64_t free_cpu;
+	struct resources left;
 
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
 		if (!worker->listed || worker->draining || worker->inc.dead ||
 		    worker->inc.lapsed || strcmp(worker->service, service) != 0)
 			continue;
-		free_cpu = worker->room.capacity.cpu_millis -
-		    worker->room.used.cpu_millis;
-		if (free_cpu >= room->piece)
-			room->left += free_cpu;
+		room_get_free(&worker->room, &left);
+		if (left.cpu_millis >= room->piece)
+			room->left += left.cpu_millis;
 	}
 }
 
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -247,6 +247,19 @@
 void health_check_progress(
     struct sched *, struct sched_worker *, int64_t now_ms);
 
+/* sched_refusal.c */
+/* The worker has refused a start for want of room; trial: of a trial. */
+void refusal_no_room(
+    struct sched *, struct sched_worker *, bool trial, int64_t now_ms);
+/* The worker's room is known again, if it was in doubt. */
+void refusal_over(struct sched *, struct sched_worker *);
+/* Lets one task be tried once the pause of the worker is over. */
+void refusal_update(struct sched *, struct sched_worker *, int64_t now_ms);
+/* The run was placed: it may be a trial. */
+void refusal_task_placed(struct sched_run *, int64_t now_ms);
+/* The worker has taken the start of the run. */
+void refusal_start_taken(struct sched *, const struct sched_run *);
+
 /* sched.c */
 /* Makes sched_act() due at that time at the latest. */
 void sched_due(struct sched *, int64_t at_ms);
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -74,15 +74,7 @@
 static void
 set_free(struct candidate *candidate)
 {
-	const struct room *room;
-
-	room = &candidate->worker->room;
-	candidate->free.cpu_millis =
-	    room->capacity.cpu_millis - room->used.cpu_millis;
-	candidate->free.memory_mib =
-	    room->capacity.memory_mib - room->used.memory_mib;
-	candidate->free.accelerators =
-	    room->capacity.accelerators - room->used.accelerators;
+	room_get_free(&candidate->worker->room, &candidate->free);
 }
 
 /* false: no memory. */
@@ -375,6 +367,7 @@
 	    p->s, task, place->worker, run_next_attempt(p->s, task), p->now_ms);
 	if (run == NULL)
 		return false;
+	refusal_task_placed(run, p->now_ms);
 	set_free(place);
 	send_start(p->s, run, p->now_ms);
 	return true;
@@ -418,6 +411,7 @@
 					  place->worker, attempt, p->now_ms);
 		if (run == NULL)
 			break;
+		refusal_task_placed(run, p->now_ms);
 		set_free(place);
 		runs[n] = run;
 	}
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -127,6 +127,8 @@
     const struct resources *capacity, bool draining, int64_t leaves_ms,
     int64_t now_ms)
 {
+	if (!resources_equal(&worker->room.capacity, capacity))
+		refusal_over(s, worker);
 	room_set_capacity(&worker->room, capacity);
 	crash_worker_listed(s, worker, now_ms);
 	if (!worker->listed) {
@@ -374,6 +376,7 @@
 		return false;
 	}
 	run_step(s, worker, now_ms);
+	refusal_update(s, worker, now_ms);
 	health_check_progress(s, worker, now_ms);
 	poll_if_due(s, worker, now_ms);
 	return true;
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -95,6 +95,7 @@
 	uint32_t attempt;
 	enum sched_run_state state;
 	bool adopted; /* found at its worker, not started in this term */
+	bool trial; /* of a worker that has refused starts for want of room */
 	bool stop_wanted;
 	enum sched_stop_reason stop_reason; /* once it is wanted */
 	bool stop_pending; /* a stop is unanswered */
@@ -269,6 +270,15 @@
 };
 #define RECORD_BIT(record) (1U << (record))
 
+/* Starts that a worker has refused for want of room; see sched_refusal.c. */
+struct sched_refusals {
+	uint32_t count; /* since a start was last taken there; 0: none */
+	int64_t since_ms; /* the first of them */
+	int64_t pause_ms; /* length of the present pause */
+	int64_t trial_ms; /* end of the pause */
+	bool trial_due; /* the next task placed there is a trial */
+};
+
 /*
  * What holds for one incarnation of a worker only.  A worker that restarts may
  * keep its id, and then holds and knows nothing of before and counts its ends
@@ -298,6 +308,7 @@
 	const struct sched_job *failed_job; /* the last; only compared */
 	int64_t probe_ms; /* unused until then, then one task at a time */
 	int64_t isolated_until_ms; /* a suspect task runs there alone */
+	struct sched_refusals refusals;
 	double speed; /* measured over declared run time; 1: normal */
 	int64_t paced_ms; /* when a pace here was last changed */
 	int64_t late_ms; /* when a serving task was last over its target */
@@ -456,6 +467,12 @@
 	void (*forget)(struct sched *, const char *job, void *ctx);
 	/* A worker has seen a higher term: send nothing more. */
 	void (*deposed)(struct sched *, void *ctx);
+	/*
+	 * A worker begins to refuse starts for want of room.  over: its room is
+	 * known again, after worker->inc.refusals.count of them.
+	 */
+	void (*no_room)(
+	    struct sched *, struct sched_worker *, bool over, void *ctx);
 };
 
 struct sched_options {
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "counter.h"
 #include "lead_int.h"
 #include "log.h"
 
@@ -74,6 +75,63 @@
 	order->term = s->opt.term;
 }
 
+static const char *
+answer_name(enum worker_answer answer)
+{
+	switch (answer) {
+	case ANSWER_OK:
+		return "ok";
+	case ANSWER_LOST:
+		return "lost";
+	case ANSWER_NOT_SENT:
+		return "not_sent";
+	case ANSWER_FENCED:
+		return "fence";
+	case ANSWER_OLD:
+		return "old";
+	case ANSWER_LATE:
+		return "late";
+	case ANSWER_NO_ROOM:
+		return "room";
+	case ANSWER_UNHEALTHY:
+		return "unhealthy";
+	case ANSWER_OTHER_INCARNATION:
+		return "other_incarnation";
+	case ANSWER_REFUSED:
+		return "invalid";
+	}
+	return "unknown";
+}
+
+/* Refusals for want of room are logged by worker: see no_room(). */
+static void
+note_refused_start(const struct call *call, enum worker_answer answer)
+{
+	counter_inc_reason("lagoonpin_start_refused", answer_name(answer));
+	if (answer == ANSWER_NO_ROOM)
+		return;
+	log_info("start_refused",
+	    "job=%s step=%u index=%u attempt=%u worker=%s answer=%s",
+	    call->task.job, call->task.step, call->task.index, call->attempt,
+	    call->worker, answer_name(answer));
+}
+
+static void
+no_room(struct sched *s, struct sched_worker *worker, bool over, void *ctx)
+{
+	const struct sched_refusals *refusals;
+
+	(void)s;
+	(void)ctx;
+	refusals = &worker->inc.refusals;
+	log_info(over ? "worker_room_known" : "worker_no_room",
+	    "worker=%s refused=%u for_ms=%lld cpu=%lld held_cpu=%lld",
+	    worker->id, refusals->count,
+	    (long long)(clock_now_ms() - refusals->since_ms),
+	    (long long)worker->room.capacity.cpu_millis,
+	    (long long)worker->room.used.cpu_millis);
+}
+
 static void
 on_start(const struct worker_result *result, void *ctx)
 {
@@ -83,11 +141,7 @@
 	call = ctx;
 	if ((worker = call_worker(call)) != NULL) {
 		if (result->answer != ANSWER_OK)
-			log_info("start_refused",
-			    "job=%s step=%u index=%u attempt=%u worker=%s "
-			    "answer=%d",
-			    call->task.job, call->task.step, call->task.index,
-			    call->attempt, call->worker, (int)result->answer);
+			note_refused_start(call, result->answer);
 		sched_start_answered(call->lead->sched, worker, &call->task,
 		    call->attempt, result->answer, result->clock_ms,
 		    clock_now_ms());
@@ -397,4 +451,5 @@
 	save_schedule,
 	save_job_expired,
 	leader_deposed,
+	no_room,
 };
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -18,6 +18,13 @@
 	uint32_t attempt;
 };
 
+// A worker began to refuse starts for want of room, or has stopped to.
+struct NoRoom {
+	std::string worker;
+	bool over;
+	uint32_t refused;
+};
+
 struct Loss {
 	Order order;
 	enum sched_loss cause;
@@ -34,7 +41,7 @@
 	{
 		actions = { OnStart, OnStop, OnPace, OnPoll, OnRecord,
 			OnUnknown, OnLeaseExpired, OnLost, OnForgetWorker,
-			OnSave, OnForget, OnDeposed };
+			OnSave, OnForget, OnDeposed, OnNoRoom };
 		memset(&options, 0, sizeof(options));
 		options.term = 1;
 		options.taken_ms = now;
@@ -266,6 +273,12 @@
 	{
 	}
 	static void
+	OnNoRoom(struct sched *, struct sched_worker *w, bool over, void *ctx)
+	{
+		Self(ctx)->no_room.push_back(
+		    { w->id, over, w->inc.refusals.count });
+	}
+	static void
 	OnDeposed(struct sched *, void *ctx)
 	{
 		Self(ctx)->deposed = true;
@@ -277,6 +290,7 @@
 	int64_t now = 10000;
 	std::vector<Order> started, stopped;
 	std::vector<Loss> lost;
+	std::vector<NoRoom> no_room;
 	std::vector<std::pair<Order, int>> paced;
 	std::vector<std::string> polled, unknown;
 	std::vector<std::string> resumed_from; // for each of started
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -92,6 +92,11 @@
 {
 }
 
+void
+OnNoRoom(struct sched *, struct sched_worker *, bool, void *)
+{
+}
+
 void
 OnDeposed(struct sched *, void *ctx)
 {
@@ -100,7 +105,7 @@
 
 const struct sched_actions kActions = { OnStart, OnStop, OnPace, OnPoll,
 	OnRecord, OnUnknown, OnLeaseExpired, OnLost, OnForgetWorker, OnSave,
-	OnForget, OnDeposed };
+	OnForget, OnDeposed, OnNoRoom };
 
 } // namespace
 
--- a/tests/test_room.cc
+++ b/tests/test_room.cc
@@ -53,3 +53,40 @@
 	EXPECT_EQ(room.used.cpu_millis, 1001);
 	EXPECT_EQ(room_reserve(&room, &one), ROOM_ERR_FULL);
 }
+
+// Guards against more being reserved in a VM than it held when it refused.
+TEST(Room, ARefusalLimitsItToWhatItHolds)
+{
+	const struct resources capacity = { 8, 8, 0 }, two = { 2, 1, 0 };
+	struct resources left;
+	struct room room;
+
+	room_init(&room, &capacity);
+	ASSERT_EQ(room_reserve(&room, &two), ROOM_OK);
+	ASSERT_EQ(room_reserve(&room, &two), ROOM_OK);
+	room_limit(&room);
+	room_get_free(&room, &left);
+	EXPECT_EQ(left.cpu_millis, 0);
+	EXPECT_EQ(room_check(&room, &two), ROOM_ERR_FULL);
+	ASSERT_EQ(room_release(&room, &two), ROOM_OK);
+	EXPECT_EQ(room_check(&room, &two), ROOM_OK);
+	room_limit(&room);
+	EXPECT_EQ(room_check(&room, &two), ROOM_ERR_FULL);
+	room_lift_limit(&room);
+	room_get_free(&room, &left);
+	EXPECT_EQ(left.cpu_millis, 6);
+}
+
+TEST(Room, ALimitIsNoCapacityBeyondTheRecordedOne)
+{
+	const struct resources capacity = { 8, 8, 0 }, six = { 6, 6, 0 };
+	const struct resources small = { 4, 4, 0 }, one = { 1, 1, 0 };
+	struct room room;
+
+	room_init(&room, &capacity);
+	ASSERT_EQ(room_reserve(&room, &six), ROOM_OK);
+	room_limit(&room);
+	room_set_capacity(&room, &small);
+	ASSERT_EQ(room_release(&room, &one), ROOM_OK);
+	EXPECT_EQ(room_check(&room, &one), ROOM_ERR_FULL);
+}
--- a/tests/test_sched_share.cc
+++ b/tests/test_sched_share.cc
@@ -60,7 +60,9 @@
 			[](struct sched *, struct sched_worker *, void *) {},
 			[](struct sched *, void *) {},
 			[](struct sched *, const char *, void *) {},
-			[](struct sched *, void *) {} };
+			[](struct sched *, void *) {},
+			[](struct sched *, struct sched_worker *, bool,
+			    void *) {} };
 		memset(&options, 0, sizeof(options));
 		options.term = 1;
 		options.taken_ms = now;
