Read the list of workers beside a watch that hangs; keep its age

Cause: one call in flight. While the watch of the workers hung, for up to 5.7 s, no read went out beside it; and nothing told a list that is the present state from one that was heard long ago.

core/listsync decides on the calls and keeps as of when the list is complete. A watch lasts 0.3 s and is overdue 0.2 s later; then the list is read, also beside a read that takes 0.3 s, at most four calls at a time. An answer is used only if no later call was answered before, so that no old entry replaces a newer one. An answered call proves the list as of its start, less the time that workers take to rewrite their entries, and less 1 s for which the store may be away unnoticed; after an outage workers get that time first. A leader whose writes are answered and whose reads aren't for 3 s hands over to a member that reaches the store (step_down reason=list_unread): another leader is the second path to the list, as for one that the store rejects altogether.

listsync_age_max_ms() adds up the steps: 3.4 s with the users' interval of 1.1 s, a hanging watch, a lost read and answers after 0.3 s; a test holds that against their shortest bound (catch_up_s 4). The age is in event=load and in lagoonpin_worker_list_age_ms.

Tests: test_listsync; WorkerList.* (a hanging watch, a rejected leader, one whose reads hang).

--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -342,7 +342,7 @@
 	struct sched_incarnation inc; /* the present one */
 	int64_t listed_start_ms; /* start told by its entry in the list */
 	bool listed;
-	bool in_list; /* the caller's, while it reads the whole list */
+	uint64_t list_number; /* the caller's: of the call that listed it */
 	unsigned int record_may; /* RECORD_BIT()s the store may hold */
 	enum worker_record record_wanted;
 	bool record_empty; /* the record lists no tasks of it */
--- a/entry/config.c
+++ b/entry/config.c
@@ -172,19 +172,6 @@
 	    confsync_source_name(sync->confirmed_by), node_has_store(node));
 }
 
-void
-node_set_gauges(const struct node *node)
-{
-	int64_t age_ms;
-
-	counter_set(counter_get("lagoonpin_config_version", ""),
-	    (uint64_t)node->confsync.version);
-	age_ms = node_config_age_ms(node);
-	if (age_ms >= 0)
-		counter_set(counter_get("lagoonpin_config_age_ms", ""),
-		    (uint64_t)age_ms);
-}
-
 static void
 read_store(struct node *node, int64_t now_ms)
 {
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -158,6 +158,7 @@
 struct lead *
 lead_open(struct node *node)
 {
+	struct listsync_options list_options;
 	struct sched_options options;
 	struct member *member;
 	struct lead *l;
@@ -170,6 +171,9 @@
 	l->tick_ms = l->opened_ms;
 	TAILQ_INIT(&l->progresses);
 	TAILQ_INIT(&l->pending_replies);
+	list_options.report_ms = node->opt.worker_report_ms;
+	list_options.apply_ms = node->opt.list_apply_ms;
+	listsync_init(&l->listsync, &list_options);
 	memset(&options, 0, sizeof(options));
 	options.term = node->elect.leader.term;
 	options.taken_ms = l->opened_ms;
@@ -354,7 +358,7 @@
 	    "fillers=%lld "
 	    "running=%u waiting=%u waiting_fillers=%u serving=%u late=%u "
 	    "paced=%u serving_use=%.2f starts=%llu looks=%llu stills=%llu "
-	    "moves=%llu restarts=%llu",
+	    "moves=%llu restarts=%llu list_age_ms=%lld",
 	    load.workers, load.usable, load.unsettled, (long long)load.cpu,
 	    (long long)load.claimed, (long long)load.fillers, load.running,
 	    load.waiting, load.waiting_fillers, load.serving, load.late,
@@ -363,7 +367,8 @@
 	    (unsigned long long)l->sched->counts.polls,
 	    (unsigned long long)l->sched->counts.stalled,
 	    (unsigned long long)l->sched->counts.moves,
-	    (unsigned long long)l->sched->counts.restarts);
+	    (unsigned long long)l->sched->counts.restarts,
+	    (long long)listsync_age_ms(&l->listsync, now_ms));
 }
 
 static const char *
@@ -481,7 +486,7 @@
 		return;
 	load_check(l);
 	/* Workers of a service that is new in it may be used now. */
-	l->workers_reread_wanted = true;
+	listsync_want_read(&l->listsync);
 	for (i = 0; i < config->nqueues; i++) {
 		from = &config->queues[i];
 		queue = sched_queue_get(l->sched, from->name, &from->terms);
--- a/entry/lead_fleet.c
+++ b/entry/lead_fleet.c
@@ -12,10 +12,6 @@
 
 /* Entries send notices of new jobs; the watch finds those that were lost. */
 #define JOBS_INTERVAL_MS 1000
-#define WORKERS_WAIT_MS 5000
-#define RETRY_MS 300
-/* A watch may stop reporting unnoticed: the whole list is read so often. */
-#define REREAD_INTERVAL_MS 4000
 
 static void
 worker_left(struct lead *l, const char *id, int64_t now_ms)
@@ -43,17 +39,19 @@
 }
 
 void
-fleet_worker(struct lead *l, const char *key, const char *value, size_t len,
+fleet_worker(struct lead *l, uint64_t call_number, const struct kv_item *item,
     int64_t now_ms)
 {
+	const struct platform_ops *platform;
 	struct sched_worker *worker;
 	struct worker_info info;
 	int64_t leaves_ms;
 
+	platform = &l->node->opt.platform;
 	memset(&info, 0, sizeof(info));
-	if (!l->node->opt.platform.worker(
-		l->node->opt.platform.self, key, value, len, &info)) {
-		refuse_worker(l, key, now_ms);
+	if (!platform->worker(
+		platform->self, item->key, item->value, item->len, &info)) {
+		refuse_worker(l, item->key, now_ms);
 		return;
 	}
 	if ((worker = sched_worker_get(l->sched, info.id)) == NULL)
@@ -67,6 +65,13 @@
 		    "worker=%s started=%lld before=%lld", info.id,
 		    (long long)info.started_ms,
 		    (long long)worker->listed_start_ms);
+	if (worker->listed &&
+	    !resources_equal(&worker->room.capacity, &info.capacity))
+		log_info("worker_capacity",
+		    "worker=%s cpu=%lld before=%lld held_cpu=%lld", info.id,
+		    (long long)info.capacity.cpu_millis,
+		    (long long)worker->room.capacity.cpu_millis,
+		    (long long)worker->room.used.cpu_millis);
 	sched_worker_list_start(l->sched, worker, info.started_ms, now_ms);
 	strlcpy(worker->service, info.service, sizeof(worker->service));
 	strlcpy(worker->address, info.address, sizeof(worker->address));
@@ -74,151 +79,161 @@
 	    worker->data_center, info.data_center, sizeof(worker->data_center));
 	memcpy(worker->labels, info.labels, sizeof(worker->labels));
 	worker->nlabels = info.nlabels;
-	worker->in_list = true;
+	worker->list_number = call_number;
 	leaves_ms = info.draining ? now_ms + info.leaves_in_ms : 0;
 	sched_worker_listed(
 	    l->sched, worker, &info.capacity, info.draining, leaves_ms, now_ms);
 }
 
-void
-fleet_list_begin(struct lead *l)
-{
-	struct sched_worker *worker;
-
-	RB_FOREACH (worker, sched_worker_tree, &l->sched->workers)
-		worker->in_list = false;
-}
-
-void
-fleet_list_end(struct lead *l, int64_t now_ms)
+/* The read of the whole list is complete: workers that aren't in it left. */
+static void
+unlist_others(struct lead *l, uint64_t call_number, int64_t now_ms)
 {
 	struct sched_worker *worker;
 
 	RB_FOREACH (worker, sched_worker_tree, &l->sched->workers) {
-		if (!worker->in_list)
+		if (worker->list_number != call_number)
 			worker_left(l, worker->id, now_ms);
 	}
 }
 
-/* A read of the whole list, page by page. */
-struct reread {
+/* A call for the list of workers or its changes. */
+struct fleet_call {
 	struct lead *lead;
-	char after[KEY_MAX];
-	int64_t revision;
+	struct listsync_call call;
+	char after[KEY_MAX]; /* of a read: the last key of the page before */
+	int64_t revision; /* of a read: that of the first page; 0: none yet */
 };
 
-static void on_reread(const struct kv_result *, void *);
-
 static void
-reread_page(struct reread *r)
+end_call(struct fleet_call *fc, enum listsync_end end)
 {
-	const struct kv_ops *kv;
+	struct lead *l;
 
-	kv = &r->lead->node->opt.kv;
-	kv->range(kv->self, r->lead->node->opt.platform.workers_prefix,
-	    r->after[0] != '\0' ? r->after : NULL, on_reread, r);
+	l = fc->lead;
+	if (!l->closed) {
+		listsync_end(&l->listsync, &fc->call, end, clock_now_ms());
+		lead_wakeup(l);
+	}
+	free(fc);
+	lead_unref(l);
 }
 
-static void
-reread_end(struct reread *r, bool complete, int64_t now_ms)
+/* Returns false, and has ended the call, if the answer can't be used. */
+static bool
+use_answer(struct fleet_call *fc, const struct kv_result *result)
 {
 	struct lead *l;
 
-	l = r->lead;
-	if (!l->closed) {
-		l->workers_in_flight = false;
-		l->workers_ms = now_ms;
-		if (complete) {
-			fleet_list_end(l, now_ms);
-			l->workers_reread_wanted = false;
-			l->reread_ms = now_ms;
-			if (r->revision > l->workers_revision)
-				l->workers_revision = r->revision;
-			lead_wakeup(l);
-		}
+	l = fc->lead;
+	if (l->closed || result->error != KV_OK) {
+		end_call(fc,
+		    result->error == KV_COMPACTED ? LISTSYNC_HISTORY_LOST :
+						    LISTSYNC_FAILED);
+		return false;
 	}
-	lead_unref(l);
-	free(r);
+	if (!listsync_use(&l->listsync, &fc->call)) {
+		end_call(fc, LISTSYNC_OUTDATED);
+		return false;
+	}
+	return true;
 }
 
 static void
-on_reread(const struct kv_result *result, void *ctx)
+advance_revision(struct lead *l, int64_t revision)
 {
-	struct reread *r;
-	int64_t now_ms;
-	size_t i;
+	if (revision > l->workers_revision)
+		l->workers_revision = revision;
+}
 
-	r = ctx;
-	now_ms = clock_now_ms();
-	if (r->lead->closed || result->error != KV_OK) {
-		reread_end(r, false, now_ms);
-		return;
-	}
-	if (r->revision == 0)
-		r->revision = result->revision;
-	for (i = 0; i < result->nitems; i++)
-		fleet_worker(r->lead, result->items[i].key,
-		    result->items[i].value, result->items[i].len, now_ms);
-	if (!result->more || result->nitems == 0) {
-		reread_end(r, true, now_ms);
-		return;
-	}
-	strlcpy(
-	    r->after, result->items[result->nitems - 1].key, sizeof(r->after));
-	reread_page(r);
+static void on_page(const struct kv_result *, void *);
+
+static void
+read_page(struct fleet_call *fc)
+{
+	const struct kv_ops *kv;
+
+	kv = &fc->lead->node->opt.kv;
+	kv->range(kv->self, fc->lead->node->opt.platform.workers_prefix,
+	    fc->after[0] != '\0' ? fc->after : NULL, on_page, fc);
 }
 
 static void
-reread(struct lead *l)
+on_page(const struct kv_result *result, void *ctx)
 {
-	struct reread *r;
+	struct fleet_call *fc;
+	struct lead *l;
+	int64_t now_ms;
+	size_t i;
 
-	if ((r = calloc(1, sizeof(*r))) == NULL)
+	fc = ctx;
+	l = fc->lead;
+	if (!use_answer(fc, result))
 		return;
-	r->lead = l;
-	l->workers_in_flight = true;
-	fleet_list_begin(l);
-	lead_ref(l);
-	reread_page(r);
+	now_ms = clock_now_ms();
+	if (fc->revision == 0)
+		fc->revision = result->revision;
+	for (i = 0; i < result->nitems; i++)
+		fleet_worker(l, fc->call.number, &result->items[i], now_ms);
+	if (result->more && result->nitems > 0) {
+		strlcpy(fc->after, result->items[result->nitems - 1].key,
+		    sizeof(fc->after));
+		listsync_continue(&l->listsync, &fc->call, now_ms);
+		read_page(fc);
+		return;
+	}
+	unlist_others(l, fc->call.number, now_ms);
+	advance_revision(l, fc->revision);
+	end_call(fc, LISTSYNC_COMPLETE);
 }
 
 static void
-on_workers(const struct kv_result *result, void *ctx)
+on_changes(const struct kv_result *result, void *ctx)
 {
 	const struct platform_ops *platform;
 	const struct kv_item *item;
+	struct fleet_call *fc;
 	const char *id;
 	struct lead *l;
 	int64_t now_ms;
 	size_t i;
 
-	l = ctx;
-	if (l->closed) {
-		lead_unref(l);
+	fc = ctx;
+	l = fc->lead;
+	if (!use_answer(fc, result))
 		return;
-	}
 	now_ms = clock_now_ms();
 	platform = &l->node->opt.platform;
-	l->workers_in_flight = false;
-	if (result->error != KV_OK) {
-		l->workers_ms = now_ms;
-		l->workers_reread_wanted = true;
-		lead_unref(l);
-		return;
-	}
 	for (i = 0; i < result->nitems; i++) {
 		item = &result->items[i];
 		if (item->value != NULL)
-			fleet_worker(
-			    l, item->key, item->value, item->len, now_ms);
+			fleet_worker(l, fc->call.number, item, now_ms);
 		else if ((id = platform->worker_id(
 			      platform->self, item->key)) != NULL)
 			worker_left(l, id, now_ms);
 	}
-	if (result->revision > l->workers_revision)
-		l->workers_revision = result->revision;
-	lead_wakeup(l);
-	lead_unref(l);
+	advance_revision(l, result->revision);
+	end_call(fc, LISTSYNC_COMPLETE);
+}
+
+static void
+call_store(struct lead *l, enum listsync_kind kind, int64_t now_ms)
+{
+	const struct kv_ops *kv;
+	struct fleet_call *fc;
+
+	if ((fc = calloc(1, sizeof(*fc))) == NULL)
+		return;
+	fc->lead = l;
+	lead_ref(l);
+	listsync_begin(&l->listsync, kind, &fc->call, now_ms);
+	if (kind == LISTSYNC_READ) {
+		read_page(fc);
+		return;
+	}
+	kv = &l->node->opt.kv;
+	kv->watch(kv->self, l->node->opt.platform.workers_prefix,
+	    l->workers_revision, LISTSYNC_WATCH_MS, on_changes, fc);
 }
 
 static void
@@ -305,26 +320,27 @@
 		kv->watch(kv->self, KEY_JOB, l->jobs_revision, 0, on_jobs, l);
 }
 
+bool
+lead_list_is_unread(const struct lead *l, int64_t now_ms)
+{
+	return l->ready && now_ms - l->listsync.proven_ms > LISTSYNC_GAP_MS;
+}
+
+int64_t
+lead_list_age_ms(const struct lead *l)
+{
+	return listsync_age_ms(&l->listsync, clock_now_ms());
+}
+
 void
 fleet_tick(struct lead *l, int64_t now_ms)
 {
-	const struct kv_ops *kv;
+	enum listsync_kind kind;
 
 	if (!l->ready)
 		return;
-	kv = &l->node->opt.kv;
 	if (!l->jobs_in_flight && now_ms - l->jobs_ms >= JOBS_INTERVAL_MS)
 		read_jobs(l, now_ms);
-	if (l->workers_in_flight)
-		return;
-	if (l->workers_reread_wanted ||
-	    now_ms - l->reread_ms >= REREAD_INTERVAL_MS) {
-		if (now_ms - l->workers_ms >= RETRY_MS)
-			reread(l);
-		return;
-	}
-	l->workers_in_flight = true;
-	lead_ref(l);
-	kv->watch(kv->self, l->node->opt.platform.workers_prefix,
-	    l->workers_revision, WORKERS_WAIT_MS, on_workers, l);
+	if (listsync_due(&l->listsync, &kind, now_ms))
+		call_store(l, kind, now_ms);
 }
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -1,6 +1,7 @@
 #ifndef LEAD_INT_H
 #define LEAD_INT_H
 
+#include "listsync.h"
 #include "node_int.h"
 #include "outbox.h"
 
@@ -103,11 +104,8 @@
 	bool jobs_compacted; /* history lost: read all jobs again */
 	char jobs_after[KEY_MAX]; /* last key read */
 	int64_t jobs_reread_revision; /* continue the watch from here */
+	struct listsync listsync; /* of the list of workers */
 	int64_t workers_revision;
-	bool workers_in_flight;
-	int64_t workers_ms;
-	bool workers_reread_wanted;
-	int64_t reread_ms; /* last read of the whole list */
 	struct unknown_jobs unknown_jobs; /* looked up in the store */
 	/* ended jobs whose records may be removed */
 	char expired_jobs[EXPIRED_JOBS_MAX][GRAPH_ID_MAX];
@@ -173,11 +171,9 @@
 void lead_late_ends(const char *id, const struct poll_result *, void *ctx);
 
 /* lead_fleet.c */
-void fleet_worker(struct lead *, const char *key, const char *value, size_t len,
+/* Takes the entry of a worker; call_number: of the call that returned it. */
+void fleet_worker(struct lead *, uint64_t call_number, const struct kv_item *,
     int64_t now_ms);
 void fleet_tick(struct lead *, int64_t now_ms);
-/* Start and end of a read of the whole list: workers not in it have left. */
-void fleet_list_begin(struct lead *);
-void fleet_list_end(struct lead *, int64_t now_ms);
 
 #endif /* LEAD_INT_H */
--- a/entry/lead_load.c
+++ b/entry/lead_load.c
@@ -19,9 +19,10 @@
 	struct lead *lead;
 	const char *prefix;
 	void (*item)(struct lead *, const struct kv_item *);
-	void (*end)(struct lead *, int64_t revision);
+	void (*end)(const struct load_part *);
 	char after[KEY_MAX]; /* the last key read */
 	int64_t revision; /* of the first page */
+	int64_t begun_ms; /* when the first page was requested */
 	uv_timer_t timer;
 };
 
@@ -38,9 +39,9 @@
 }
 
 static void
-jobs_read(struct lead *l, int64_t revision)
+jobs_read(const struct load_part *part)
 {
-	l->jobs_revision = revision;
+	part->lead->jobs_revision = part->revision;
 }
 
 static void
@@ -66,19 +67,30 @@
 static void
 load_worker(struct lead *l, const struct kv_item *item)
 {
-	fleet_worker(l, item->key, item->value, item->len, clock_now_ms());
+	fleet_worker(l, 0, item, clock_now_ms());
 }
 
+/* A call of ours that failed may have failed for the workers, too. */
 static void
-workers_read(struct lead *l, int64_t revision)
+workers_read(const struct load_part *part)
 {
-	l->workers_revision = revision;
+	const struct kv_ops *kv;
+	struct lead *l;
+	int64_t away_ms;
+
+	l = part->lead;
+	kv = &l->node->opt.kv;
+	away_ms = kv->failed_ms(kv->self);
+	if (away_ms < l->node->elect.store_back_ms)
+		away_ms = l->node->elect.store_back_ms;
+	l->workers_revision = part->revision;
+	listsync_loaded(&l->listsync, part->begun_ms, away_ms);
 }
 
 static void
 start_part(struct lead *l, const char *prefix,
     void (*item)(struct lead *, const struct kv_item *),
-    void (*end)(struct lead *, int64_t))
+    void (*end)(const struct load_part *))
 {
 	struct load_part *part;
 
@@ -114,6 +126,8 @@
 	const struct kv_ops *kv;
 
 	kv = &part->lead->node->opt.kv;
+	if (part->after[0] == '\0')
+		part->begun_ms = clock_now_ms();
 	kv->range(kv->self, part->prefix,
 	    part->after[0] != '\0' ? part->after : NULL, on_page, part);
 }
@@ -158,7 +172,7 @@
 		return;
 	}
 	if (part->end != NULL)
-		part->end(l, part->revision);
+		part->end(part);
 	part_end(part);
 }
 
--- a/entry/members.c
+++ b/entry/members.c
@@ -27,10 +27,10 @@
 /* Only the first in the order of succession get them; others read the store. */
 #define LEARNT_SUCCESSORS 3
 
-/* A member of at least this multiple of our power should lead instead, */
+/* A member of at least this multiple of our power should lead instead. */
 #define STRONGER_FACTOR 1.5
-/* if its last hello, sent each HELLO_MS, is no older than this. */
-#define STRONGER_HELLO_MAX_MS 1200
+/* No member takes over whose last hello, sent each HELLO_MS, is older. */
+#define CANDIDATE_HELLO_MAX_MS 1200
 
 #define ZMTP_HEARTBEAT_MS 500
 #define ZMTP_TIMEOUT_MS 1500
@@ -208,6 +208,26 @@
 	return member;
 }
 
+static bool
+could_lead(const struct node *node, const struct member *member, int64_t now_ms)
+{
+	return strcmp(member->id, node->id) != 0 && !member->leaving &&
+	    member->has_store && member->term == node->elect.leader.term &&
+	    now_ms - member->heard_ms < CANDIDATE_HELLO_MAX_MS;
+}
+
+bool
+members_any_could_lead(const struct node *node, int64_t now_ms)
+{
+	const struct member *member;
+
+	TAILQ_FOREACH (member, &node->members, link) {
+		if (could_lead(node, member, now_ms))
+			return true;
+	}
+	return false;
+}
+
 bool
 members_stronger(const struct node *node, int64_t now_ms)
 {
@@ -215,9 +235,7 @@
 
 	TAILQ_FOREACH (member, &node->members, link) {
 		if (member->power >= STRONGER_FACTOR * node->opt.power &&
-		    !member->leaving && member->has_store &&
-		    member->term == node->elect.leader.term &&
-		    now_ms - member->heard_ms < STRONGER_HELLO_MAX_MS)
+		    could_lead(node, member, now_ms))
 			return true;
 	}
 	return false;
--- a/entry/node.c
+++ b/entry/node.c
@@ -19,7 +19,7 @@
 #define LINK_BURST_MS 100
 /* On leaving, open requests may take so long to be answered. */
 #define LEAVE_TIMEOUT_MS 1500
-/* A stronger member that stays so long is unlikely to disappear soon. */
+/* What lasts so long is unlikely to pass soon. */
 #define OUTRANKED_MS 2000
 
 static void on_tick(uv_timer_t *);
@@ -87,6 +87,22 @@
 	return "unknown";
 }
 
+void
+node_set_gauges(const struct node *node)
+{
+	int64_t age_ms;
+
+	counter_set(counter_get("lagoonpin_config_version", ""),
+	    (uint64_t)node->confsync.version);
+	age_ms = node_config_age_ms(node);
+	if (age_ms >= 0)
+		counter_set(counter_get("lagoonpin_config_age_ms", ""),
+		    (uint64_t)age_ms);
+	age_ms = node->lead != NULL ? lead_list_age_ms(node->lead) : 0;
+	counter_set(counter_get("lagoonpin_worker_list_age_ms", ""),
+	    age_ms > 0 ? (uint64_t)age_ms : 0);
+}
+
 bool
 node_ready(const struct node *node)
 {
@@ -146,18 +162,36 @@
 }
 
 /*
- * A weak entry may have become leader while the stronger ones were absent or
- * slower.  Its processor and link can't keep up with the answers of hundreds of
- * workers, so all jobs take longer while it leads; a handover takes a tenth of
- * a second.  The handover waits until no former leader can act any more, since
- * the next leader would have to wait for that.
+ * Why another member should lead; NULL: none should.  A weak entry may have
+ * become leader while the stronger ones were absent or slower.  Its processor
+ * and link can't keep up with the answers of hundreds of workers, so all jobs
+ * take longer while it leads; a handover takes a tenth of a second.  A leader
+ * that writes to the store but can't read the list of workers starts nothing,
+ * while a member may be able to.
+ */
+static const char *
+handover_reason(const struct node *node, int64_t now_ms)
+{
+	if (members_stronger(node, now_ms))
+		return "stronger_member";
+	if (lead_list_is_unread(node->lead, now_ms) &&
+	    members_any_could_lead(node, now_ms))
+		return "list_unread";
+	return NULL;
+}
+
+/*
+ * The handover waits until no former leader can act any more, since the next
+ * leader would have to wait for that.
  */
 static void
 check_outranked(struct node *node, int64_t now_ms)
 {
+	const char *reason;
+
+	reason = handover_reason(node, now_ms);
 	if (!lead_has_store(node->lead, now_ms) ||
-	    !lead_is_exclusive(node->lead, now_ms) ||
-	    !members_stronger(node, now_ms)) {
+	    !lead_is_exclusive(node->lead, now_ms) || reason == NULL) {
 		node->outranked_ms = 0;
 		return;
 	}
@@ -166,7 +200,7 @@
 	if (now_ms - node->outranked_ms < OUTRANKED_MS)
 		return;
 	node->outranked_ms = 0;
-	hand_over(node, "stronger_member", now_ms);
+	hand_over(node, reason, now_ms);
 }
 
 static void
--- a/entry/node.h
+++ b/entry/node.h
@@ -26,6 +26,8 @@
 	int64_t keep_ms; /* ended jobs are known for so long */
 	int64_t harm_ms; /* a serving task may be late for so long */
 	int64_t config_apply_ms; /* a change is in force within this time */
+	int64_t list_apply_ms; /* the same of a change of a worker's entry */
+	int64_t worker_report_ms; /* workers rewrite their entries so often */
 	struct kv_ops kv;
 	struct worker_ops workers;
 	struct platform_ops platform;
@@ -58,7 +60,8 @@
 bool node_config_is_fresh(const struct node *);
 /*
  * Sets the gauges of the metrics page that aren't kept up to date.  That of the
- * configuration's age is left out while the age is unknown.
+ * configuration's age is left out while the age is unknown; that of the list of
+ * workers is 0 then, and on an entry that doesn't lead.
  */
 void node_set_gauges(const struct node *);
 
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -159,7 +159,7 @@
 	int64_t pending_ms;
 	json_t *full; /* queues without room for long-running jobs, or NULL */
 	int64_t full_ms; /* when the leader reported it */
-	int64_t outranked_ms; /* a stronger member exists since; 0: none */
+	int64_t outranked_ms; /* another member should lead since; 0: none */
 };
 
 /* members.c: messages between entries */
@@ -171,6 +171,8 @@
 /* The same for a binary message of that kind. */
 bool members_send_bytes(
     struct node *, const char *id, const char *kind, const void *, size_t len);
+/* A member follows us and reaches the store. */
+bool members_any_could_lead(const struct node *, int64_t now_ms);
 /* A much stronger member exists that could lead. */
 bool members_stronger(const struct node *, int64_t now_ms);
 /* Tells the members that we no longer lead: one of them takes over at once. */
@@ -248,6 +250,10 @@
 bool lead_has_store(const struct lead *, int64_t now_ms);
 /* No leader of an earlier term can act any more. */
 bool lead_is_exclusive(const struct lead *, int64_t now_ms);
+/* The store has answered no read or watch of the list of workers lately. */
+bool lead_list_is_unread(const struct lead *, int64_t now_ms);
+/* Age of what is known of the workers' rooms; -1: nothing is. */
+int64_t lead_list_age_ms(const struct lead *);
 json_t *lead_pending(struct lead *);
 /*
  * Queues without room for new long-running jobs; see sched_measure_headroom().
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -20,6 +20,12 @@
 
 constexpr int64_t kStepMs = 50, kOneWayMs = 5, kOrderTimeoutMs = 400;
 constexpr int64_t kLeaseMs = 5000, kClockSlowPercent = 2;
+// Interval in which workers rewrite their entries, and the users' bound on a
+// change of an entry.
+constexpr int64_t kReportMs = 1000, kListApplyMs = 4000;
+// Calls to a silent store fail after this time.
+constexpr int64_t kStoreTimeoutMs = 1000;
+constexpr int64_t kWorkerCpu = 8000;
 
 struct Item {
 	std::string value;
@@ -30,6 +36,7 @@
 	uint32_t attempt;
 	int64_t since_ms;
 	int64_t ends_ms; // when it is done; 0: long-running, it doesn't end
+	int64_t cpu;
 };
 
 // A completed run; reported in each poll until acknowledged.
@@ -51,6 +58,19 @@
 	std::map<std::string, Run> runs;
 	uint64_t last_end = 0;
 	std::vector<End> ends;
+	int64_t cpu = kWorkerCpu, reported_cpu = kWorkerCpu;
+	int64_t cpu_changed_ms = 0, reported_ms = 0;
+	bool guards_room = false; // it refuses what it has no room for
+
+	int64_t
+	Used() const
+	{
+		int64_t sum = 0;
+
+		for (auto &[name, run] : runs)
+			sum += run.cpu;
+		return sum;
+	}
 
 	static int64_t
 	Clock(int64_t now_ms)
@@ -70,6 +90,7 @@
 	// Watches, or all reads, are neither answered nor failed.
 	bool watch_hangs = false;
 	bool reads_hang = false;
+	int64_t failed_ms = 0;
 	struct entry_config config = {};
 	std::map<int64_t, int64_t> applied_ms; // by version
 };
@@ -120,6 +141,8 @@
 		options.keep_ms = keep_ms;
 		options.harm_ms = 4000;
 		options.config_apply_ms = 2000;
+		options.list_apply_ms = kListApplyMs;
+		options.worker_report_ms = kReportMs;
 		Client &client = clients[id];
 		client = Client();
 		client.world = this;
@@ -235,10 +258,34 @@
 		for (auto &[id, worker] : workers) {
 			ExpireLease(worker);
 			CompleteRuns(worker);
+			Report(id, worker);
 		}
 		TrackAbsences();
 	}
 
+	// A worker tells its room in intervals, if it reaches the store.
+	void
+	Report(const std::string &id, Worker &worker)
+	{
+		if (!worker.listed || store_down || store_silent ||
+		    clock_now_ms() - worker.reported_ms < kReportMs)
+			return;
+		worker.reported_ms = clock_now_ms();
+		if (worker.reported_cpu == worker.cpu)
+			return;
+		worker.reported_cpu = worker.cpu;
+		Put("w/" + id, id + ":" + std::to_string(worker.cpu));
+	}
+
+	// The room of the worker changes; its entry follows with its next
+	// report.
+	void
+	SetCpu(const std::string &id, int64_t cpu)
+	{
+		workers[id].cpu = cpu;
+		workers[id].cpu_changed_ms = clock_now_ms();
+	}
+
 	// Completes the runs whose run time is over.
 	static void
 	CompleteRuns(Worker &worker)
@@ -340,6 +387,7 @@
 		g->steps[0].size = { cpu, 100, 0 };
 		g->steps[0].estimate_ms = run_ms > 0 ? run_ms : 300;
 		g->steps[0].lasts = run_ms == 0;
+		task_cpu[id] = cpu;
 		if (run_ms > 0)
 			run_times[id] = run_ms;
 		node_submit(
@@ -441,9 +489,8 @@
 	// The store.
 
 	void
-	Reply(const Client *client, kv_done *done, void *ctx,
-	    enum kv_error error, const std::vector<std::string> &keys,
-	    bool more = false)
+	Reply(Client *client, kv_done *done, void *ctx, enum kv_error error,
+	    const std::vector<std::string> &keys, bool more = false)
 	{
 		struct kv_result result;
 		std::vector<struct kv_item> rows;
@@ -473,9 +520,23 @@
 		    0;
 		result.more = result.error == KV_OK && more;
 		result.revision = revision;
+		if (result.error == KV_UNAVAILABLE)
+			client->failed_ms = clock_now_ms();
 		done(&result, ctx);
 	}
 
+	// A silent store answers nothing: the call fails after some time.
+	bool
+	IsSilent(Client *client, kv_done *done, void *ctx,
+	    enum kv_error error = KV_UNAVAILABLE)
+	{
+		if (!store_silent)
+			return false;
+		At(kStoreTimeoutMs,
+		    [=, this] { Reply(client, done, ctx, error, {}); });
+		return true;
+	}
+
 	static Handover *
 	Self(void *ctx)
 	{
@@ -493,6 +554,8 @@
 		Handover *self = client->world;
 		std::string key = key_text;
 
+		if (self->IsSilent(client, done, done_ctx))
+			return;
 		self->At(kOneWayMs, [=] {
 			std::vector<std::string> keys;
 			if (self->items.count(key))
@@ -510,6 +573,8 @@
 		std::string after = after_text != nullptr ? after_text : "";
 
 		self->reads[prefix]++;
+		if (self->IsSilent(client, done, done_ctx))
+			return;
 		if (client->reads_hang) {
 			self->hanging.emplace_back([=] {
 				self->Reply(
@@ -542,6 +607,8 @@
 		Client *client = Store(ctx);
 		Handover *self = client->world;
 
+		if (self->IsSilent(client, done, done_ctx))
+			return;
 		if (client->watch_hangs || client->reads_hang)
 			self->hanging.emplace_back([=] {
 				self->Reply(
@@ -562,6 +629,8 @@
 		std::vector<std::pair<std::string, std::string>> puts;
 		std::vector<std::string> removes;
 
+		if (self->IsSilent(client, done, done_ctx, KV_UNKNOWN))
+			return;
 		for (size_t i = 0; i < txn->ncompares; i++)
 			compares.emplace_back(
 			    txn->compares[i].key, txn->compares[i].revision);
@@ -615,7 +684,8 @@
 	static int64_t
 	FailedMs(void *ctx)
 	{
-		return Store(ctx)->rejected ? clock_now_ms() : 0;
+		return Store(ctx)->rejected ? clock_now_ms() :
+					      Store(ctx)->failed_ms;
 	}
 
 	// The workers.
@@ -624,7 +694,8 @@
 	// worker times out.
 	void
 	Order(const struct worker_order &order, worker_done *done,
-	    void *done_ctx, const std::function<void(Worker &)> &act,
+	    void *done_ctx,
+	    const std::function<enum worker_answer(Worker &)> &act,
 	    bool is_poll = false)
 	{
 		std::string id = order.worker->id;
@@ -659,7 +730,7 @@
 				result.answer = ANSWER_FENCED;
 			else {
 				worker.token = term;
-				act(worker);
+				result.answer = act(worker);
 			}
 			for (auto &[name, run] : worker.runs) {
 				struct poll_running row;
@@ -731,10 +802,20 @@
 			}
 			if (worker.draining)
 				self->starts_draining++;
+			int64_t cpu =
+			    self->task_cpu[name.substr(0, name.find('.'))];
+			if (worker.Used() + cpu > worker.cpu) {
+				if (worker.guards_room)
+					return ANSWER_NO_ROOM;
+				self->starts_over_room +=
+				    clock_now_ms() - worker.cpu_changed_ms >
+				    kListApplyMs;
+			}
 			worker.runs[name] = { attempt, clock_now_ms(),
-				self->EndTime(name) };
+				self->EndTime(name), cpu };
 			if (deadline > worker.lease)
 				worker.lease = deadline;
+			return ANSWER_OK;
 		});
 	}
 	static void
@@ -743,14 +824,17 @@
 	{
 		std::string name = NameOf(order->task);
 
-		Self(ctx)->Order(*order, done, done_ctx,
-		    [=](Worker &worker) { worker.runs.erase(name); });
+		Self(ctx)->Order(*order, done, done_ctx, [=](Worker &worker) {
+			worker.runs.erase(name);
+			return ANSWER_OK;
+		});
 	}
 	static void
 	Pace(void *ctx, const struct worker_order *order, int,
 	    worker_done *done, void *done_ctx)
 	{
-		Self(ctx)->Order(*order, done, done_ctx, [](Worker &) {});
+		Self(ctx)->Order(
+		    *order, done, done_ctx, [](Worker &) { return ANSWER_OK; });
 	}
 	static void
 	Poll(void *ctx, const struct worker_poll *look, worker_done *done,
@@ -770,6 +854,7 @@
 			    while (!ends.empty() &&
 				ends.front().number <= acknowledged)
 				    ends.erase(ends.begin());
+			    return ANSWER_OK;
 		    },
 		    true);
 	}
@@ -796,12 +881,17 @@
 	    struct worker_info *info)
 	{
 		const char *id = key + strlen("w/");
+		std::string text(value, len);
+		size_t colon = text.find(':');
 
-		if (std::string(value, len) != id)
+		if (text.substr(0, colon) != id)
 			return false; // written by someone else
 		strlcpy(info->id, id, sizeof(info->id));
 		strlcpy(info->service, "s", sizeof(info->service));
-		info->capacity = { 8000, 8000, 0 };
+		info->capacity = { colon == std::string::npos ?
+			    kWorkerCpu :
+			    std::stoll(text.substr(colon + 1)),
+			8000, 0 };
 		Worker &worker = Store(ctx)->world->workers[id];
 		info->draining = worker.draining;
 		info->leaves_in_ms =
@@ -833,7 +923,7 @@
 	// take real time, so they appear slow unless a step takes about as
 	// long in real time as on the paused clock.
 	unsigned int loop_turn_ms = 6;
-	bool closing = false, store_down = false;
+	bool closing = false, store_down = false, store_silent = false;
 	int64_t keep_ms = 100000;
 	// Maximum number of items in the response to a range read.
 	size_t page = 1000;
@@ -851,9 +941,12 @@
 	std::map<std::string, Worker> workers;
 	std::multimap<int64_t, std::function<void()>> events;
 	std::map<std::string, int64_t> run_times; // by job, of those that end
+	std::map<std::string, int64_t> task_cpu; // by job
 	std::map<std::string, int64_t> seen_ms;
 	int64_t longest_absence_ms = 0;
 	int accepted = 0, refused = 0, duplicate_runs = 0, starts_draining = 0;
+	// On workers that don't guard it, after the bound on its change.
+	int starts_over_room = 0;
 	int64_t retry_after_ms = 0; // of the last refusal
 
 	// The users' limit on the absence of a long-running task.
--- a/tests/test_foreign.cc
+++ b/tests/test_foreign.cc
@@ -280,3 +280,47 @@
 	close(fd);
 	unlink(path);
 }
+
+// Guards against a bound in the settings that is invalid and goes unnoticed.
+TEST(Settings, BoundsOfTheListOfWorkers)
+{
+	const std::string head =
+	    "{\"node_name\":\"n\",\"ip\":\"127.0.0.1\",\"zone\":\"z\","
+	    "\"listen\":{\"front\":\"127.0.0.1:1\",\"ready_addr\":"
+	    "\"127.0.0.1:2\"},\"platform\":{\"address\":\"127.0.0.1:3\"},"
+	    "\"internal_ports\":[7720,7735]";
+	const struct {
+		std::string tail;
+		enum sitefile_error error;
+		std::string field;
+	} cases[] = {
+		{ "}", SITEFILE_OK, "" },
+		{ ",\"heartbeat_ms\":1100,\"bounds\":{\"catch_up_s\":2.5}}",
+		    SITEFILE_OK, "" },
+		{ ",\"heartbeat_ms\":0}", SITEFILE_ERR_FIELD, "heartbeat_ms" },
+		{ ",\"heartbeat_ms\":\"1 s\"}", SITEFILE_ERR_FIELD,
+		    "heartbeat_ms" },
+		{ ",\"bounds\":{\"catch_up_s\":-1}}", SITEFILE_ERR_FIELD,
+		    "catch_up_s" },
+	};
+	char path[] = "/tmp/lagoonpin-settings-XXXXXX";
+	struct platform_settings s;
+	const char *field;
+	int fd = mkstemp(path);
+
+	ASSERT_NE(fd, -1);
+	for (auto &c : cases) {
+		std::string text = head + c.tail;
+		ASSERT_EQ(ftruncate(fd, 0), 0);
+		ASSERT_EQ(pwrite(fd, text.data(), text.size(), 0),
+		    static_cast<ssize_t>(text.size()));
+		EXPECT_EQ(sitefile_load(path, &s, &field), c.error) << c.tail;
+		EXPECT_EQ(field, c.field) << c.tail;
+		if (c.tail.find("1100") != std::string::npos) {
+			EXPECT_EQ(s.worker_report_ms, 1100);
+			EXPECT_EQ(s.list_apply_ms, 2500);
+		}
+	}
+	close(fd);
+	unlink(path);
+}
