Start nothing by a list of workers that is too old

Cause: no age. A leader that reached its members went on to start by the last list that it had heard, whatever its age.

Starts now stop while the list is older than the users' bound (catch_up_s less 0.2 s for the order's way), but for workers of services that check admission, which refuse by themselves. Running work, leases, ends, stops and cancels go on; nothing is moved off draining workers to rooms that aren't known.

--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -75,6 +75,8 @@
 void worker_free(struct sched *, struct sched_worker *);
 /* New tasks may be started on the worker. */
 bool worker_usable(const struct sched_worker *, int64_t now_ms);
+/* Its room is known, or it refuses what it has no room for. */
+bool worker_room_known(const struct sched *, const struct sched_worker *);
 /* Advances the acknowledgement past ends whose jobs are saved. */
 void worker_acknowledge(struct sched_worker *);
 
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -94,7 +94,8 @@
 		return false;
 	p->ncandidates = 0;
 	RB_FOREACH (worker, sched_worker_tree, &p->s->workers) {
-		if (!worker_usable(worker, p->now_ms))
+		if (!worker_usable(worker, p->now_ms) ||
+		    !worker_room_known(p->s, worker))
 			continue;
 		p->candidates[p->ncandidates].worker = worker;
 		set_free(&p->candidates[p->ncandidates++]);
--- a/core/sched_waits.c
+++ b/core/sched_waits.c
@@ -42,8 +42,11 @@
 		if (!worker_usable(worker, out->now_ms))
 			continue;
 		out->usable++;
-		if (place_fits(worker, task))
-			out->with_room++;
+		if (!place_fits(worker, task))
+			continue;
+		out->with_room++;
+		if (worker_room_known(s, worker))
+			out->with_known_room++;
 	}
 }
 
@@ -59,7 +62,9 @@
 		return WAIT_UNSAVED;
 	if (inherit_blocks(s, task))
 		return WAIT_INHERITED;
-	return out->with_room == 0 ? WAIT_WORKERS : WAIT_TURN;
+	if (out->with_room == 0)
+		return WAIT_WORKERS;
+	return out->with_known_room == 0 ? WAIT_ROOMS : WAIT_TURN;
 }
 
 void
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -343,6 +343,7 @@
 	int64_t listed_start_ms; /* start told by its entry in the list */
 	bool listed;
 	uint64_t list_number; /* the caller's: of the call that listed it */
+	bool guards_room; /* it refuses what it has no room for */
 	unsigned int record_may; /* RECORD_BIT()s the store may hold */
 	enum worker_record record_wanted;
 	bool record_empty; /* the record lists no tasks of it */
@@ -535,6 +536,7 @@
 	TAILQ_HEAD(, sched_queue) queues;
 	uint32_t next_serial;
 	bool frozen; /* another may lead: renew and start nothing */
+	bool rooms_unknown; /* start only on workers that guard their room */
 	bool store_unavailable; /* poll less often */
 	uint32_t starts_allowed; /* by the link, in the next sched_act() */
 	bool link_full; /* poll workers that can wait less often */
@@ -698,6 +700,7 @@
 	WAIT_BACKOFF, /* its last run failed to start or was lost */
 	WAIT_UNSAVED, /* the loss of its last run isn't saved */
 	WAIT_INHERITED, /* it may run on a worker that hasn't answered */
+	WAIT_ROOMS, /* the room of workers isn't known well enough */
 	WAIT_WORKERS, /* no usable worker has room or is suitable */
 	WAIT_TURN /* a worker has room: it waits for the next pass */
 };
@@ -711,6 +714,7 @@
 	int64_t waited_ms;
 	uint32_t usable; /* workers that accept tasks */
 	uint32_t with_room; /* of these, with room for it */
+	uint32_t with_known_room; /* of these, whose room is known */
 };
 void sched_explain_waiting(
     struct sched *, struct sched_waiting *, int64_t now_ms);
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -332,6 +332,7 @@
 		return;
 	now_ms = clock_now_ms();
 	check_frozen(l, now_ms);
+	fleet_check_age(l, now_ms);
 	set_budget(l, now_ms);
 	sched_act(l->sched, now_ms);
 	next_ms = flush(l, now_ms);
@@ -387,6 +388,8 @@
 		return "may_run_elsewhere";
 	case WAIT_WORKERS:
 		return "no_worker";
+	case WAIT_ROOMS:
+		return "list_old";
 	case WAIT_TURN:
 		return "next_pass";
 	}
--- a/entry/lead_fleet.c
+++ b/entry/lead_fleet.c
@@ -79,6 +79,7 @@
 	    worker->data_center, info.data_center, sizeof(worker->data_center));
 	memcpy(worker->labels, info.labels, sizeof(worker->labels));
 	worker->nlabels = info.nlabels;
+	worker->guards_room = info.guards_room;
 	worker->list_number = call_number;
 	leaves_ms = info.draining ? now_ms + info.leaves_in_ms : 0;
 	sched_worker_listed(
@@ -332,6 +333,29 @@
 	return listsync_age_ms(&l->listsync, clock_now_ms());
 }
 
+void
+fleet_check_age(struct lead *l, int64_t now_ms)
+{
+	bool is_old;
+
+	is_old = !listsync_is_fresh(&l->listsync, now_ms);
+	if (is_old == l->sched->rooms_unknown)
+		return;
+	l->sched->rooms_unknown = is_old;
+	if (is_old) {
+		l->list_old_ms = now_ms;
+		log_warn("worker_list_old", "age_ms=%lld limit_ms=%lld",
+		    (long long)listsync_age_ms(&l->listsync, now_ms),
+		    (long long)l->listsync.fresh_ms);
+		return;
+	}
+	log_info("worker_list_fresh", "age_ms=%lld old_for_ms=%lld",
+	    (long long)listsync_age_ms(&l->listsync, now_ms),
+	    (long long)(now_ms - l->list_old_ms));
+	l->sched->place_wanted = true;
+	lead_wakeup(l);
+}
+
 void
 fleet_tick(struct lead *l, int64_t now_ms)
 {
@@ -343,4 +367,5 @@
 		read_jobs(l, now_ms);
 	if (listsync_due(&l->listsync, &kind, now_ms))
 		call_store(l, kind, now_ms);
+	fleet_check_age(l, now_ms);
 }
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -106,6 +106,7 @@
 	int64_t jobs_reread_revision; /* continue the watch from here */
 	struct listsync listsync; /* of the list of workers */
 	int64_t workers_revision;
+	int64_t list_old_ms; /* since when the list is too old to start by */
 	struct unknown_jobs unknown_jobs; /* looked up in the store */
 	/* ended jobs whose records may be removed */
 	char expired_jobs[EXPIRED_JOBS_MAX][GRAPH_ID_MAX];
@@ -175,5 +176,7 @@
 void fleet_worker(struct lead *, uint64_t call_number, const struct kv_item *,
     int64_t now_ms);
 void fleet_tick(struct lead *, int64_t now_ms);
+/* Allows or stops starts by the age of the list of workers. */
+void fleet_check_age(struct lead *, int64_t now_ms);
 
 #endif /* LEAD_INT_H */
--- a/entry/seam.h
+++ b/entry/seam.h
@@ -146,6 +146,7 @@
 	char labels[SCHED_LABELS_MAX][GRAPH_NAME_MAX];
 	size_t nlabels;
 	struct resources capacity;
+	bool guards_room; /* it refuses what it has no room for */
 	int64_t started_ms; /* its start, ms since 1970; 0: not told */
 	bool draining;
 	int64_t leaves_in_ms; /* at the earliest, while it drains */
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -894,6 +894,7 @@
 			8000, 0 };
 		Worker &worker = Store(ctx)->world->workers[id];
 		info->draining = worker.draining;
+		info->guards_room = worker.guards_room;
 		info->leaves_in_ms =
 		    std::max<int64_t>(0, worker.leaves_ms - clock_now_ms());
 		return true;
--- a/tests/test_submit.cc
+++ b/tests/test_submit.cc
@@ -224,6 +224,37 @@
 	platform_config_close(w);
 }
 
+TEST(PlatformConfig, WorkersOfAServiceThatChecksAdmissionGuardTheirRoom)
+{
+	struct platform_config *w = platform_config_open();
+	const struct entry_config *config;
+	std::string text =
+	    "{\"version\":8,\"routes\":[],\"services\":[{\"name\":\"s\","
+	    "\"admission_check\":true},{\"name\":\"t\"}]}";
+	std::string worker = kWorker;
+	struct worker_info info;
+	struct platform_ops ops;
+
+	platform_config_ops(w, &ops);
+	ASSERT_EQ(ops.config(
+		      ops.self, "op/config", text.data(), text.size(), &config),
+	    CONFIG_NEWER);
+	ASSERT_TRUE(ops.worker(
+	    ops.self, "servers/i-1", worker.data(), worker.size(), &info));
+	EXPECT_TRUE(info.guards_room);
+	worker.replace(
+	    worker.find("\"service\":\"s\""), 13, "\"service\":\"t\"");
+	ASSERT_TRUE(ops.worker(
+	    ops.self, "servers/i-1", worker.data(), worker.size(), &info));
+	EXPECT_FALSE(info.guards_room);
+	text.replace(text.find("\"version\":8"), 11, "\"version\":9");
+	text.replace(text.find("true"), 4, "7");
+	EXPECT_EQ(ops.config(
+		      ops.self, "op/config", text.data(), text.size(), &config),
+	    CONFIG_INVALID);
+	platform_config_close(w);
+}
+
 TEST(PlatformConfig, NoBytesEndTheProcess)
 {
 	struct platform_config *w = platform_config_open();
--- a/tests/test_worker_list.cc
+++ b/tests/test_worker_list.cc
@@ -41,6 +41,18 @@
 		return n;
 	}
 
+	// The store is away while one room shrinks; then it is back.
+	void
+	ShrinkWhileAway(bool &away, int64_t away_ms)
+	{
+		Begin();
+		away = true;
+		Pass(200);
+		SetCpu("a", kShrunkCpu);
+		Pass(away_ms - 200);
+		away = false;
+	}
+
 	// All tasks of the first job end, none of them on room that isn't
 	// there.
 	void
@@ -57,6 +69,9 @@
 	int jobs = 0;
 };
 
+class WorkerListAway : public WorkerList,
+		       public ::testing::WithParamInterface<int64_t> {};
+
 } // namespace
 
 // Guards against a leader that learns of no change while a watch hangs.
@@ -69,6 +84,53 @@
 	ExpectAllDone(15000);
 }
 
+// Guards against starts by a list that the store can't bring up to date.
+TEST_P(WorkerListAway, NothingStartsOnRoomThatShrankWhileTheStoreIsSilent)
+{
+	ShrinkWhileAway(store_silent, GetParam());
+	ExpectAllDone(15000);
+}
+
+TEST_P(WorkerListAway, NothingStartsOnRoomThatShrankWhileTheStoreIsDown)
+{
+	ShrinkWhileAway(store_down, GetParam());
+	ExpectAllDone(15000);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ms, WorkerListAway, ::testing::Values(1000, 2000, 4000, 9000, 20000));
+
+// Guards against a list that is taken for new when the store is back, but
+// wasn't brought up to date by the workers yet.
+TEST_F(WorkerList, RoomThatShrinksAndGrowsWhileTheStoreIsAway)
+{
+	Begin();
+	store_down = true;
+	Pass(200);
+	SetCpu("a", kShrunkCpu);
+	Pass(1000);
+	SetCpu("a", kWorkerCpu);
+	Pass(1000);
+	SetCpu("a", 0);
+	Pass(4000);
+	store_down = false;
+	ExpectAllDone(15000);
+}
+
+// Guards against a next leader that takes a list for new that it has just read.
+TEST_F(WorkerList, ANextLeaderKnowsNoMoreThanTheWorkersCouldReport)
+{
+	Begin();
+	store_silent = true;
+	Pass(200);
+	SetCpu("a", kShrunkCpu);
+	Pass(5000);
+	Kill(nodes.front());
+	Pass(1000);
+	store_silent = false;
+	ExpectAllDone(25000);
+}
+
 // Guards against a leader that starts by its old list, or nothing, while the
 // store rejects it and serves the others.
 TEST_F(WorkerList, ARejectedLeaderIsReplacedBeforeItsListIsOld)
@@ -90,3 +152,42 @@
 	SetCpu("a", kShrunkCpu);
 	ExpectAllDone(15000);
 }
+
+// Guards against work that waits though its worker refuses by itself.
+TEST_F(WorkerList, WorkersThatGuardTheirRoomAreUsedWhileTheStoreIsAway)
+{
+	AddWorker("guards");
+	workers["guards"].guards_room = true;
+	Begin();
+	store_down = true;
+	Pass(200);
+	SetCpu("a", kShrunkCpu);
+	SetCpu("guards", kShrunkCpu);
+	Pass(4000);
+	size_t before = workers["guards"].last_end;
+	Pass(3000);
+	EXPECT_GE(workers["guards"].last_end, before + 3);
+	store_down = false;
+	ExpectAllDone(15000);
+}
+
+// Guards against leases that lapse, and ends that are lost, as nothing starts.
+TEST_F(WorkerList, WhatRunsGoesOnWhileNothingStarts)
+{
+	AddWorker("a");
+	Open("e1");
+	Pass(1500);
+	Open("e2");
+	Open("e3");
+	Pass(3000);
+	Submit("lasting", 2);
+	Pass(1000);
+	ASSERT_EQ(Running(), 2u);
+	store_down = true;
+	Pass(12000);
+	EXPECT_EQ(Running(), 2u);
+	EXPECT_LT(longest_absence_ms, 1000);
+	store_down = false;
+	Pass(3000);
+	EXPECT_EQ(Running(), 2u);
+}
