Make no read of the worker list beside one that is as slow as the last

What callers would see: nothing starts under a leader with a slow link. Read in the code, not played: over 2 Mbit/s a page of 500 workers takes some 0.8 s, so that reads beside each other, each 0.3 s, would slow each other down until none is answered within its second.

A read is overdue after four times what the last one took, 1 s at most. Test: ListSync.NoReadIsMadeBesideOneThatIsAsSlowAsTheLast. Besides: the log lines on a worker's entry in a function of their own, and a comment on when workers have reported.

--- a/core/listsync.c
+++ b/core/listsync.c
@@ -39,6 +39,10 @@
 		sync->fresh_ms = age_max_ms;
 }
 
+/*
+ * The store didn't serve this entry at that time, nor the workers perhaps: they
+ * have until settle_ms later to report.
+ */
 static void
 note_away(struct listsync *sync, int64_t at_ms)
 {
@@ -68,11 +72,13 @@
 }
 
 void
-listsync_loaded(struct listsync *sync, int64_t begun_ms, int64_t away_ms)
+listsync_loaded(
+    struct listsync *sync, int64_t begun_ms, int64_t away_ms, int64_t now_ms)
 {
 	sync->hung = true;
 	note_away(sync, away_ms);
 	sync->read_ms = begun_ms;
+	sync->read_took_ms = now_ms - begun_ms;
 	prove(sync, begun_ms);
 }
 
@@ -82,6 +88,22 @@
 	sync->read_wanted = true;
 }
 
+/*
+ * On a slow link a second read beside the first would slow both down until
+ * neither is answered in time.
+ */
+static int64_t
+read_limit_ms(const struct listsync *sync)
+{
+	int64_t limit_ms;
+
+	limit_ms = LISTSYNC_READ_FACTOR * sync->read_took_ms;
+	if (limit_ms < LISTSYNC_RETRY_MS)
+		return LISTSYNC_RETRY_MS;
+	return limit_ms < LISTSYNC_READ_MAX_MS ? limit_ms :
+						 LISTSYNC_READ_MAX_MS;
+}
+
 static bool
 is_overdue(const struct listsync *sync, int64_t now_ms)
 {
@@ -89,7 +111,7 @@
 
 	limit_ms = sync->last.kind == LISTSYNC_WATCH ?
 	    LISTSYNC_WATCH_MS + LISTSYNC_OVERDUE_MS :
-	    LISTSYNC_RETRY_MS;
+	    read_limit_ms(sync);
 	return now_ms - sync->last_ms >= limit_ms;
 }
 
@@ -142,11 +164,13 @@
 }
 
 static void
-note_complete(struct listsync *sync, const struct listsync_call *call)
+note_complete(
+    struct listsync *sync, const struct listsync_call *call, int64_t now_ms)
 {
 	if (call->kind == LISTSYNC_READ) {
 		sync->read_wanted = false;
 		sync->read_ms = call->begun_ms;
+		sync->read_took_ms = now_ms - call->begun_ms;
 	}
 	if (!sync->read_wanted)
 		prove(sync, call->begun_ms);
@@ -173,7 +197,7 @@
 	if (call->number == sync->last.number)
 		sync->last_open = false;
 	if (end == LISTSYNC_COMPLETE)
-		note_complete(sync, call);
+		note_complete(sync, call, now_ms);
 	else if (end != LISTSYNC_OUTDATED && call->number > sync->used)
 		note_failure(sync, call, end, now_ms);
 }
--- a/core/listsync.h
+++ b/core/listsync.h
@@ -26,8 +26,12 @@
 #define LISTSYNC_WATCH_MS INT64_C(300)
 /* A watch that isn't answered by then is overdue. */
 #define LISTSYNC_OVERDUE_MS INT64_C(200)
-/* Minimum interval of reads; a read that takes longer is overdue. */
+/* Minimum interval of reads. */
 #define LISTSYNC_RETRY_MS INT64_C(300)
+/* A read is overdue after this multiple of the time that the last one took. */
+#define LISTSYNC_READ_FACTOR 4
+/* Longest time until a read is overdue. */
+#define LISTSYNC_READ_MAX_MS INT64_C(1000)
 /* A watch may omit changes unnoticed, so the list is read as often. */
 #define LISTSYNC_READ_INTERVAL_MS INT64_C(4000)
 /* The store may be away unnoticed for this time. */
@@ -75,6 +79,7 @@
 	bool read_wanted; /* the list may be incomplete */
 	int64_t read_ms; /* start of the last complete read */
 	int64_t read_begun_ms; /* of the last read */
+	int64_t read_took_ms; /* the last complete one */
 	struct listsync_call last; /* the latest call */
 	int64_t last_ms; /* its start, or that of its last page */
 	bool last_open; /* it hasn't ended */
@@ -84,10 +89,11 @@
 
 void listsync_init(struct listsync *, const struct listsync_options *);
 /*
- * The list was read when the term began, from begun_ms on; the store may have
- * been away, with calls that hung, until away_ms.
+ * The list was read when the term began, from begun_ms to now; the store may
+ * have been away, with calls that hung, until away_ms.
  */
-void listsync_loaded(struct listsync *, int64_t begun_ms, int64_t away_ms);
+void listsync_loaded(
+    struct listsync *, int64_t begun_ms, int64_t away_ms, int64_t now_ms);
 /* Read the list as soon as possible. */
 void listsync_want_read(struct listsync *);
 
--- a/entry/lead_fleet.c
+++ b/entry/lead_fleet.c
@@ -38,6 +38,31 @@
 		worker_left(l, id, now_ms);
 }
 
+/* Logs how the entry differs from what is known of its worker. */
+static void
+log_changes(const struct sched_worker *worker, const struct worker_info *info)
+{
+	const struct room *room;
+
+	room = &worker->room;
+	if (info->draining && !worker->draining)
+		log_info("worker_draining", "worker=%s leaves_in_ms=%lld",
+		    info->id, (long long)info->leaves_in_ms);
+	if (worker->listed_start_ms != 0 &&
+	    worker->listed_start_ms != info->started_ms)
+		log_info("worker_listed_again",
+		    "worker=%s started=%lld before=%lld", info->id,
+		    (long long)info->started_ms,
+		    (long long)worker->listed_start_ms);
+	if (worker->listed &&
+	    !resources_equal(&room->capacity, &info->capacity))
+		log_info("worker_capacity",
+		    "worker=%s cpu=%lld before=%lld held_cpu=%lld", info->id,
+		    (long long)info->capacity.cpu_millis,
+		    (long long)room->capacity.cpu_millis,
+		    (long long)room->used.cpu_millis);
+}
+
 void
 fleet_worker(struct lead *l, uint64_t call_number, const struct kv_item *item,
     int64_t now_ms)
@@ -56,22 +81,7 @@
 	}
 	if ((worker = sched_worker_get(l->sched, info.id)) == NULL)
 		return;
-	if (info.draining && !worker->draining)
-		log_info("worker_draining", "worker=%s leaves_in_ms=%lld",
-		    info.id, (long long)info.leaves_in_ms);
-	if (worker->listed_start_ms != 0 &&
-	    worker->listed_start_ms != info.started_ms)
-		log_info("worker_listed_again",
-		    "worker=%s started=%lld before=%lld", info.id,
-		    (long long)info.started_ms,
-		    (long long)worker->listed_start_ms);
-	if (worker->listed &&
-	    !resources_equal(&worker->room.capacity, &info.capacity))
-		log_info("worker_capacity",
-		    "worker=%s cpu=%lld before=%lld held_cpu=%lld", info.id,
-		    (long long)info.capacity.cpu_millis,
-		    (long long)worker->room.capacity.cpu_millis,
-		    (long long)worker->room.used.cpu_millis);
+	log_changes(worker, &info);
 	sched_worker_list_start(l->sched, worker, info.started_ms, now_ms);
 	strlcpy(worker->service, info.service, sizeof(worker->service));
 	strlcpy(worker->address, info.address, sizeof(worker->address));
--- a/entry/lead_load.c
+++ b/entry/lead_load.c
@@ -84,7 +84,7 @@
 	if (away_ms < l->node->elect.store_back_ms)
 		away_ms = l->node->elect.store_back_ms;
 	l->workers_revision = part->revision;
-	listsync_loaded(&l->listsync, part->begun_ms, away_ms);
+	listsync_loaded(&l->listsync, part->begun_ms, away_ms, clock_now_ms());
 }
 
 static void
--- a/tests/test_listsync.cc
+++ b/tests/test_listsync.cc
@@ -21,7 +21,7 @@
 		struct listsync_options options = { kReportMs, kApplyMs };
 
 		listsync_init(&sync, &options);
-		listsync_loaded(&sync, kNow, kNow - 60000);
+		listsync_loaded(&sync, kNow, kNow - 60000, kNow);
 	}
 
 	bool
@@ -160,6 +160,23 @@
 	EXPECT_TRUE(Due(LISTSYNC_READ));
 }
 
+// Guards against reads that slow each other down on a slow link until none is
+// answered.
+TEST_F(ListSync, NoReadIsMadeBesideOneThatIsAsSlowAsTheLast)
+{
+	listsync_want_read(&sync);
+	now += LISTSYNC_RETRY_MS;
+	struct listsync_call read = Begin(LISTSYNC_READ);
+	now += 800;
+	listsync_end(&sync, &read, LISTSYNC_COMPLETE, now);
+	listsync_want_read(&sync);
+	read = Begin(LISTSYNC_READ);
+	now += 990;
+	EXPECT_FALSE(Due(LISTSYNC_READ));
+	now += 10;
+	EXPECT_TRUE(Due(LISTSYNC_READ));
+}
+
 // Guards against a flood of reads where each watch fails at once.
 TEST_F(ListSync, ReadsKeepAnInterval)
 {
@@ -226,7 +243,7 @@
 	struct listsync_options options = { kReportMs, kApplyMs };
 
 	listsync_init(&sync, &options);
-	listsync_loaded(&sync, now, now - 200);
+	listsync_loaded(&sync, now, now - 200, now);
 	EXPECT_FALSE(listsync_is_fresh(&sync, now));
 	Pass(kReportMaxMs + LISTSYNC_HUNG_MS - 300, 4);
 	EXPECT_FALSE(listsync_is_fresh(&sync, now));
@@ -282,7 +299,7 @@
 	struct listsync_options options = { kReportMs, 500 };
 
 	listsync_init(&sync, &options);
-	listsync_loaded(&sync, now, 0);
+	listsync_loaded(&sync, now, 0, now);
 	Pass(5000, 300);
 	EXPECT_TRUE(listsync_is_fresh(&sync, now));
 }
