Check starts beyond the room of workers that don't guard it

The stand-in's workers all refused what they had no room for, so that starts on rooms that had shrunk could be seen as refusals only.

--- a/mk/soak.sh
+++ b/mk/soak.sh
@@ -258,7 +258,8 @@
 	eval "entry_${p_entry}_store=\$second_store"
 	p_entry=$((p_entry + 2))
 done
-start_platform_workers "$workers_n" --cpu-millis "$room_cpu" --keep-ids
+start_platform_workers "$workers_n" --cpu-millis "$room_cpu" --keep-ids \
+    --unguarded "${UNGUARDED:-0}"
 start_platform_entries "$entries_n"
 start_callers --jobs "$jobs" --every-ms 100
 play <"$out/schedule"
--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -196,7 +196,7 @@
 	p_stats=$(get "$workers/stats")
 	say "callers: $(cat "$out/callers.out")"
 	say "workers: $p_stats"
-	for p_field in two_places done_again bad no_room_late; do
+	for p_field in two_places done_again bad no_room_late over_room_late; do
 		[ "$(echo "$p_stats" | jq ".$p_field")" = 0 ] ||
 		    fail "$p_field: $p_stats"
 	done
