Count a read of the worker list that fails after its first page as failed

Such a read was taken neither for a failure of the store nor for a reason to read again at once: the failure counted only if no answer of that call or a later one had been used, and its own first page had been. Read in the code; it needs a list of over 500 workers. Test: AReadThatFailsAfterItsFirstPageIsMadeAgain, fails with the former comparison.

--- a/core/listsync.c
+++ b/core/listsync.c
@@ -176,7 +176,7 @@
 		prove(sync, call->begun_ms);
 }
 
-/* The call failed, and no later one was answered. */
+/* The call failed, perhaps after some pages; no later one was answered. */
 static void
 note_failure(struct listsync *sync, const struct listsync_call *call,
     enum listsync_end end, int64_t now_ms)
@@ -198,7 +198,7 @@
 		sync->last_open = false;
 	if (end == LISTSYNC_COMPLETE)
 		note_complete(sync, call, now_ms);
-	else if (end != LISTSYNC_OUTDATED && call->number > sync->used)
+	else if (end != LISTSYNC_OUTDATED && call->number >= sync->used)
 		note_failure(sync, call, end, now_ms);
 }
 
--- a/tests/test_listsync.cc
+++ b/tests/test_listsync.cc
@@ -270,6 +270,20 @@
 	EXPECT_EQ(sync.known_ms, known_ms);
 }
 
+// Guards against a list of which only the first page is new.
+TEST_F(ListSync, AReadThatFailsAfterItsFirstPageIsMadeAgain)
+{
+	now += LISTSYNC_RETRY_MS;
+	struct listsync_call read = Begin(LISTSYNC_READ);
+
+	ASSERT_TRUE(listsync_use(&sync, &read));
+	listsync_continue(&sync, &read, now);
+	listsync_end(&sync, &read, LISTSYNC_FAILED, now);
+	EXPECT_EQ(sync.away_ms, read.begun_ms);
+	now += LISTSYNC_RETRY_MS;
+	EXPECT_TRUE(Due(LISTSYNC_READ));
+}
+
 // Guards against changes that a failed watch has lost.
 TEST_F(ListSync, AFailedWatchIsFollowedByARead)
 {
