End a worker's refusals with its incarnation; avoid it for late and old only

The line worker_room_known was missing where a worker restarted while it refused: Refusal.TheNextIncarnationHasItsOwnRoom asks for it and failed before. The mark that a task avoids a worker was set for any answer without a case of its own, so for one of another incarnation, too; it is for late and old now, with a test that fails without it (ATaskThatCameLateGoesElsewhere).

--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -165,10 +165,14 @@
 	case ANSWER_NO_ROOM:
 		start_without_room(s, run, now_ms);
 		break;
-	default:
+	case ANSWER_OLD:
+	case ANSWER_LATE:
 		run->task->avoid = worker->inc.serial;
 		start_failed(s, run, REFUSED_RETRY_MS, now_ms);
 		break;
+	default:
+		start_failed(s, run, REFUSED_RETRY_MS, now_ms);
+		break;
 	}
 }
 
--- a/core/sched_incarnation.c
+++ b/core/sched_incarnation.c
@@ -15,10 +15,10 @@
 void
 incarnation_init(struct sched *s, struct sched_worker *worker)
 {
+	refusal_over(s, worker);
 	memset(&worker->inc, 0, sizeof(worker->inc));
 	worker->inc.serial = s->next_serial++;
 	worker->inc.speed = 1;
-	room_lift_limit(&worker->room);
 	STAILQ_INIT(&worker->inc.ends);
 	SLIST_INIT(&worker->inc.strays);
 }
--- a/tests/test_sched_refusal.cc
+++ b/tests/test_sched_refusal.cc
@@ -214,4 +214,24 @@
 	sched_worker_list_start(s, w, 2000, now);
 	Simulate(400);
 	EXPECT_EQ(RunningAnywhere(), 2u);
+	ASSERT_EQ(no_room.size(), 2u);
+	EXPECT_TRUE(no_room[1].over);
+}
+
+// Guards against a task that is sent to the worker again that called it late.
+TEST_F(Refusal, ATaskThatCameLateGoesElsewhere)
+{
+	std::map<std::string, int> late;
+
+	JoinFour();
+	sim["w1"].start_answer = ANSWER_LATE;
+	SimulateShort(5000);
+	for (auto &o : started) {
+		if (o.worker == "w1")
+			late[std::string(o.task.job) + "." +
+			    std::to_string(o.task.index)]++;
+	}
+	EXPECT_FALSE(late.empty());
+	for (auto &[task, starts] : late)
+		EXPECT_EQ(starts, 1) << task;
 }
