--- a/core/listsync.c
+++ b/core/listsync.c
@@ -25,6 +25,17 @@
 	    LISTSYNC_RETRY_MS + answer_ms;
 }
 
+int64_t
+listsync_entry_max_ms(const struct listsync_options *options)
+{
+	int64_t max_ms, needed_ms;
+
+	max_ms = options->apply_ms - ORDER_MS;
+	needed_ms = with_reserve(options->report_ms) + LISTSYNC_WATCH_MS +
+	    LISTSYNC_OVERDUE_MS + LISTSYNC_RETRY_MS + ANSWER_MAX_MS;
+	return max_ms > needed_ms ? max_ms : needed_ms;
+}
+
 void
 listsync_init(struct listsync *sync, const struct listsync_options *options)
 {
--- a/core/listsync.h
+++ b/core/listsync.h
@@ -87,6 +87,13 @@
 	uint32_t unanswered; /* calls that haven't ended */
 };
 
+/*
+ * The age up to which a worker's own entry shows its room, if it tells when it
+ * was written.  Where the users' bound is shorter than the time in which an
+ * entry is rewritten and read, that time counts: else nothing would ever start.
+ */
+int64_t listsync_entry_max_ms(const struct listsync_options *);
+
 void listsync_init(struct listsync *, const struct listsync_options *);
 /*
  * The list was read when the term began, from begun_ms to now; the store may
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -75,11 +75,14 @@
 void worker_free(struct sched *, struct sched_worker *);
 /* New tasks may be started on the worker. */
 bool worker_usable(const struct sched_worker *, int64_t now_ms);
-/* Its room is known, or it refuses what it has no room for. */
-bool worker_room_known(const struct sched *, const struct sched_worker *);
 /* Advances the acknowledgement past ends whose jobs are saved. */
 void worker_acknowledge(struct sched_worker *);
 
+/* sched_room.c */
+/* Its room is known, or it refuses what it has no room for. */
+bool worker_room_known(
+    const struct sched *, const struct sched_worker *, int64_t now_ms);
+
 /* sched_incarnation.c */
 /* Begins an incarnation of which nothing is known. */
 void incarnation_init(struct sched *, struct sched_worker *);
@@ -149,6 +152,8 @@
     const struct sched *, const struct sched_task *, int64_t now_ms);
 
 /* sched_lease.c */
+/* A worker's clock may run slower than ours by 2 %; the rest is margin. */
+#define CLOCK_SLOW_FACTOR 1.03
 /* Records an answer and the reading of the worker's clock in it. */
 void worker_note_answer(
     struct sched *, struct sched_worker *, int64_t clock_ms, int64_t now_ms);
--- a/core/sched_lease.c
+++ b/core/sched_lease.c
@@ -7,8 +7,6 @@
  * worker's own clock and never moves back.
  */
 
-/* A worker's clock may run slower than ours by 2 %; the rest is margin. */
-#define CLOCK_SLOW_FACTOR 1.03
 /* Margin for the delay of a request and of timers. */
 #define EXPIRY_MARGIN_MS 150
 /*
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -95,7 +95,7 @@
 	p->ncandidates = 0;
 	RB_FOREACH (worker, sched_worker_tree, &p->s->workers) {
 		if (!worker_usable(worker, p->now_ms) ||
-		    !worker_room_known(p->s, worker))
+		    !worker_room_known(p->s, worker, p->now_ms))
 			continue;
 		p->candidates[p->ncandidates].worker = worker;
 		set_free(&p->candidates[p->ncandidates++]);
--- a/core/sched_waits.c
+++ b/core/sched_waits.c
@@ -45,7 +45,7 @@
 		if (!place_fits(worker, task))
 			continue;
 		out->with_room++;
-		if (worker_room_known(s, worker))
+		if (worker_room_known(s, worker, out->now_ms))
 			out->with_known_room++;
 	}
 }
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -234,12 +234,6 @@
 	return worker->inc.probe_ms <= now_ms;
 }
 
-bool
-worker_room_known(const struct sched *s, const struct sched_worker *worker)
-{
-	return !s->rooms_unknown || worker->guards_room;
-}
-
 /* Acknowledge ends whose jobs are saved, in the worker's order. */
 void
 worker_acknowledge(struct sched_worker *worker)
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -341,6 +341,8 @@
 	struct sched_runs runs;
 	struct sched_incarnation inc; /* the present one */
 	int64_t listed_start_ms; /* start told by its entry in the list */
+	int64_t entry_clock_ms; /* its clock as it wrote that; 0: not told */
+	int64_t entry_read_ms; /* when that entry was first read */
 	bool listed;
 	uint64_t list_number; /* the caller's: of the call that listed it */
 	bool guards_room; /* it refuses what it has no room for */
@@ -485,6 +487,7 @@
 	int64_t keep_ms; /* how long ended jobs are kept */
 	int64_t wall_offset_ms; /* added to ms since 1970 gives our time */
 	int64_t harm_ms; /* lateness at which a serving task is in breach */
+	int64_t entry_max_ms; /* tasks start by a worker's entry of this age */
 	uint64_t seed;
 	const struct sched_actions *actions;
 	void *ctx;
@@ -507,6 +510,7 @@
 /* Summary of the fleet, for logs. */
 struct sched_load {
 	uint32_t usable; /* workers that accept tasks */
+	uint32_t room_unknown; /* of these, with an entry that is too old */
 	uint32_t unsettled; /* may run unknown tasks of a former leader */
 	uint32_t workers;
 	int64_t cpu; /* capacity of the usable ones */
@@ -536,7 +540,7 @@
 	TAILQ_HEAD(, sched_queue) queues;
 	uint32_t next_serial;
 	bool frozen; /* another may lead: renew and start nothing */
-	bool rooms_unknown; /* start only on workers that guard their room */
+	bool rooms_unknown; /* those of workers whose entries tell no time */
 	bool store_unavailable; /* poll less often */
 	uint32_t starts_allowed; /* by the link, in the next sched_act() */
 	bool link_full; /* poll workers that can wait less often */
@@ -622,6 +626,11 @@
     struct sched *, struct sched_worker *, int64_t started_ms, int64_t now_ms);
 void sched_worker_listed(struct sched *, struct sched_worker *,
     const struct resources *, bool draining, int64_t leaves_ms, int64_t now_ms);
+/* Its entry tells that it was written at this time of the worker's clock. */
+void sched_worker_entry_written(
+    struct sched_worker *, int64_t clock_ms, int64_t now_ms);
+/* Age of the entry at most; -1: not known. */
+int64_t sched_entry_age_ms(const struct sched_worker *, int64_t now_ms);
 void sched_worker_unlisted(
     struct sched *, struct sched_worker *, int64_t now_ms);
 /* A write of record_wanted has been sent. */
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -184,6 +184,7 @@
 	options.former_ms = node->elect.no_former_leader ? 0 : LEAD_FORMER_MS;
 	options.keep_ms = node->opt.keep_ms;
 	options.harm_ms = node->opt.harm_ms;
+	options.entry_max_ms = listsync_entry_max_ms(&list_options);
 	options.wall_offset_ms = l->opened_ms - clock_wall_ms() + DUE_MARGIN_MS;
 	options.seed = node->incarnation;
 	options.actions = &lead_sched_actions;
@@ -354,17 +355,19 @@
 
 	l->load_logged_ms = now_ms;
 	sched_measure(l->sched, &load, now_ms);
+	fleet_note_rooms(l, &load, now_ms);
 	log_info("load",
-	    "workers=%u usable=%u unsettled=%u cpu=%lld claimed=%lld "
+	    "workers=%u usable=%u room_unknown=%u unsettled=%u cpu=%lld "
+	    "claimed=%lld "
 	    "fillers=%lld "
 	    "running=%u waiting=%u waiting_fillers=%u serving=%u late=%u "
 	    "paced=%u serving_use=%.2f starts=%llu looks=%llu stills=%llu "
 	    "moves=%llu restarts=%llu list_age_ms=%lld",
-	    load.workers, load.usable, load.unsettled, (long long)load.cpu,
-	    (long long)load.claimed, (long long)load.fillers, load.running,
-	    load.waiting, load.waiting_fillers, load.serving, load.late,
-	    load.paced, l->sched->serving_use,
-	    (unsigned long long)l->sched->counts.starts,
+	    load.workers, load.usable, load.room_unknown, load.unsettled,
+	    (long long)load.cpu, (long long)load.claimed,
+	    (long long)load.fillers, load.running, load.waiting,
+	    load.waiting_fillers, load.serving, load.late, load.paced,
+	    l->sched->serving_use, (unsigned long long)l->sched->counts.starts,
 	    (unsigned long long)l->sched->counts.polls,
 	    (unsigned long long)l->sched->counts.stalled,
 	    (unsigned long long)l->sched->counts.moves,
--- a/entry/lead_fleet.c
+++ b/entry/lead_fleet.c
@@ -91,6 +91,7 @@
 	worker->nlabels = info.nlabels;
 	worker->guards_room = info.guards_room;
 	worker->list_number = call_number;
+	sched_worker_entry_written(worker, info.written_ms, now_ms);
 	leaves_ms = info.draining ? now_ms + info.leaves_in_ms : 0;
 	sched_worker_listed(
 	    l->sched, worker, &info.capacity, info.draining, leaves_ms, now_ms);
@@ -366,6 +367,33 @@
 	lead_wakeup(l);
 }
 
+void
+fleet_note_rooms(struct lead *l, const struct sched_load *load, int64_t now_ms)
+{
+	bool was_known, is_known;
+
+	was_known = l->room_unknown == 0;
+	is_known = load->room_unknown == 0;
+	l->room_unknown = load->room_unknown;
+	if (was_known == is_known)
+		return;
+	if (is_known) {
+		log_info("worker_entries_new", "old_for_ms=%lld",
+		    (long long)(now_ms - l->entries_old_ms));
+		return;
+	}
+	l->entries_old_ms = now_ms;
+	log_warn("worker_entries_old", "workers=%u usable=%u limit_ms=%lld",
+	    load->room_unknown, load->usable,
+	    (long long)l->sched->opt.entry_max_ms);
+}
+
+uint32_t
+lead_rooms_unknown(const struct lead *l)
+{
+	return l->room_unknown;
+}
+
 void
 fleet_tick(struct lead *l, int64_t now_ms)
 {
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -107,6 +107,8 @@
 	struct listsync listsync; /* of the list of workers */
 	int64_t workers_revision;
 	int64_t list_old_ms; /* since when the list is too old to start by */
+	uint32_t room_unknown; /* workers with entries that are too old */
+	int64_t entries_old_ms; /* since when there are any */
 	struct unknown_jobs unknown_jobs; /* looked up in the store */
 	/* ended jobs whose records may be removed */
 	char expired_jobs[EXPIRED_JOBS_MAX][GRAPH_ID_MAX];
@@ -178,5 +180,7 @@
 void fleet_tick(struct lead *, int64_t now_ms);
 /* Allows or stops starts by the age of the list of workers. */
 void fleet_check_age(struct lead *, int64_t now_ms);
+/* Logs when entries of workers get too old to start by, and new again. */
+void fleet_note_rooms(struct lead *, const struct sched_load *, int64_t now_ms);
 
 #endif /* LEAD_INT_H */
--- a/entry/node.c
+++ b/entry/node.c
@@ -101,6 +101,8 @@
 	age_ms = node->lead != NULL ? lead_list_age_ms(node->lead) : 0;
 	counter_set(counter_get("lagoonpin_worker_list_age_ms", ""),
 	    age_ms > 0 ? (uint64_t)age_ms : 0);
+	counter_set(counter_get("lagoonpin_workers_room_unknown", ""),
+	    node->lead != NULL ? lead_rooms_unknown(node->lead) : 0);
 }
 
 bool
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -254,6 +254,8 @@
 bool lead_list_is_unread(const struct lead *, int64_t now_ms);
 /* Age of what is known of the workers' rooms; -1: nothing is. */
 int64_t lead_list_age_ms(const struct lead *);
+/* Workers whose entries are too old to start tasks by. */
+uint32_t lead_rooms_unknown(const struct lead *);
 json_t *lead_pending(struct lead *);
 /*
  * Queues without room for new long-running jobs; see sched_measure_headroom().
--- a/entry/seam.h
+++ b/entry/seam.h
@@ -148,6 +148,7 @@
 	struct resources capacity;
 	bool guards_room; /* it refuses what it has no room for */
 	int64_t started_ms; /* its start, ms since 1970; 0: not told */
+	int64_t written_ms; /* its clock as it wrote this; 0: not told */
 	bool draining;
 	int64_t leaves_in_ms; /* at the earliest, while it drains */
 };
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -63,6 +63,7 @@
 	int64_t cpu = kWorkerCpu, reported_cpu = kWorkerCpu;
 	int64_t cpu_changed_ms = 0, next_report_ms = 0;
 	bool guards_room = false; // it refuses what it has no room for
+	int reports_to_lose = 0; // writes that the store loses, and serves on
 
 	int64_t
 	Used() const
@@ -282,10 +283,25 @@
 		worker.next_report_ms = clock_now_ms() + kReportMs +
 		    (store_silent ? kReportHangMs : 0);
 		if (store_down || store_silent ||
-		    worker.reported_cpu == worker.cpu)
+		    (!entries_tell_time && worker.reported_cpu == worker.cpu))
 			return;
+		if (worker.reports_to_lose > 0) {
+			worker.reports_to_lose--;
+			return;
+		}
 		worker.reported_cpu = worker.cpu;
-		Put("w/" + id, id + ":" + std::to_string(worker.cpu));
+		PutEntry(id, worker);
+	}
+
+	void
+	PutEntry(const std::string &id, const Worker &worker)
+	{
+		std::string text = id + ":" + std::to_string(worker.cpu);
+
+		if (entries_tell_time)
+			text +=
+			    ":" + std::to_string(Worker::Clock(clock_now_ms()));
+		Put("w/" + id, text);
 	}
 
 	// The room of the worker changes; its entry follows with its next
@@ -347,7 +363,10 @@
 	AddWorker(const std::string &id)
 	{
 		workers[id].listed = true;
-		Put("w/" + id, id);
+		if (entries_tell_time)
+			PutEntry(id, workers[id]);
+		else
+			Put("w/" + id, id);
 	}
 
 	// The worker announces that it drains, and the earliest time of its
@@ -926,6 +945,9 @@
 			    std::stoll(text.substr(colon + 1)),
 			8000, 0 };
 		Worker &worker = Store(ctx)->world->workers[id];
+		size_t last = text.rfind(':');
+		if (last != colon)
+			info->written_ms = std::stoll(text.substr(last + 1));
 		info->draining = worker.draining;
 		info->guards_room = worker.guards_room;
 		info->leaves_in_ms =
@@ -958,6 +980,8 @@
 	// long in real time as on the paused clock.
 	unsigned int loop_turn_ms = 6;
 	bool closing = false, store_down = false, store_silent = false;
+	// Workers rewrite their entries in each interval, with the time.
+	bool entries_tell_time = false;
 	int64_t keep_ms = 100000;
 	// Maximum number of items in the response to a range read.
 	size_t page = 1000;
--- a/tests/test_worker_list.cc
+++ b/tests/test_worker_list.cc
@@ -63,6 +63,20 @@
 class WorkerListAway : public WorkerList,
 		       public ::testing::WithParamInterface<int64_t> {};
 
+// Workers tell when they wrote their entries.
+class WorkerEntries : public WorkerList {
+      protected:
+	void
+	SetUp() override
+	{
+		entries_tell_time = true;
+		WorkerList::SetUp();
+	}
+};
+
+class WorkerEntriesAway : public WorkerEntries,
+			  public ::testing::WithParamInterface<int64_t> {};
+
 } // namespace
 
 // Guards against a leader that learns of no change while a watch hangs.
@@ -93,6 +107,54 @@
 INSTANTIATE_TEST_SUITE_P(
     Ms, WorkerListAway, ::testing::Values(1000, 2000, 4000, 9000, 20000));
 
+// Guards against starts by an entry that its worker couldn't replace, though
+// the store answers all reads.
+TEST_F(WorkerEntries, ARoomThatShrinksWhileTheWorkersWritesAreLost)
+{
+	Begin();
+	workers["a"].reports_to_lose = 6;
+	SetCpu("a", kShrunkCpu);
+	Pass(9000);
+	EXPECT_EQ(starts_over_room, 0);
+	ExpectStartsAgain(1000);
+}
+
+TEST_F(WorkerEntries, OtherWorkersAreUsedWhileOneCantWrite)
+{
+	Begin();
+	workers["a"].reports_to_lose = 20;
+	Pass(6000);
+	size_t before = workers["b"].last_end;
+	Pass(5000);
+	EXPECT_GE(workers["b"].last_end, before + 12);
+	EXPECT_TRUE(workers["a"].runs.empty());
+}
+
+TEST_P(WorkerEntriesAway, NothingStartsOnRoomThatShrankWhileTheStoreIsSilent)
+{
+	ShrinkWhileAway(store_silent, GetParam());
+	ExpectStartsAgain(2000);
+}
+
+TEST_P(WorkerEntriesAway, NothingStartsOnRoomThatShrankWhileTheStoreIsDown)
+{
+	ShrinkWhileAway(store_down, GetParam());
+	ExpectStartsAgain(2000);
+}
+
+TEST_F(WorkerEntries, WorkGoesOnThroughAnOutageShorterThanTheBound)
+{
+	Begin();
+	store_down = true;
+	Pass(2000);
+	store_down = false;
+	size_t before = DoneAnywhere();
+	Pass(2000);
+	EXPECT_GE(DoneAnywhere(), before + 14);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ms, WorkerEntriesAway, ::testing::Values(2000, 9000));
+
 // Guards against a list that is taken for new when the store is back, but
 // wasn't brought up to date by the workers yet.
 TEST_F(WorkerList, RoomThatShrinksAndGrowsWhileTheStoreIsAway)
