--- a/core/confsync.c
+++ b/core/confsync.c
@@ -37,16 +37,6 @@
 	update_behind(sync, sync->reported_ms);
 }
 
-static void
-confirm(struct confsync *sync, enum confsync_source source, int64_t at_ms)
-{
-	if (sync->confirmed_by != CONFSYNC_NOBODY &&
-	    at_ms <= sync->confirmed_ms)
-		return;
-	sync->confirmed_ms = at_ms;
-	sync->confirmed_by = source;
-}
-
 void
 confsync_want_read(struct confsync *sync)
 {
@@ -71,7 +61,8 @@
 {
 	sync->read_failed = false;
 	if (usable)
-		confirm(sync, CONFSYNC_STORE, sync->read_ms);
+		confirmation_note(
+		    &sync->confirmed, CONFIRMED_BY_STORE, sync->read_ms);
 	/*
 	 * The store had the peer's version when the read began, and the read
 	 * didn't bring it: no further one will.
@@ -95,7 +86,7 @@
 confsync_peer_confirmed(struct confsync *sync, int64_t version, int64_t at_ms)
 {
 	if (version == sync->version)
-		confirm(sync, CONFSYNC_PEER, at_ms);
+		confirmation_note(&sync->confirmed, CONFIRMED_BY_PEER, at_ms);
 }
 
 bool
@@ -108,32 +99,13 @@
 int64_t
 confsync_age_ms(const struct confsync *sync, int64_t now_ms)
 {
-	if (sync->confirmed_by == CONFSYNC_NOBODY)
-		return -1;
-	return now_ms - sync->confirmed_ms;
+	return confirmation_age_ms(&sync->confirmed, now_ms);
 }
 
 bool
 confsync_is_fresh(const struct confsync *sync, int64_t max_ms, int64_t now_ms)
 {
-	int64_t age_ms;
-
-	age_ms = confsync_age_ms(sync, now_ms);
-	return age_ms >= 0 && age_ms <= max_ms;
-}
-
-const char *
-confsync_source_name(enum confsync_source source)
-{
-	switch (source) {
-	case CONFSYNC_NOBODY:
-		return "nobody";
-	case CONFSYNC_STORE:
-		return "store";
-	case CONFSYNC_PEER:
-		return "peer";
-	}
-	return "unknown";
+	return confirmation_is_fresh(&sync->confirmed, max_ms, now_ms);
 }
 
 bool
--- a/core/confsync.h
+++ b/core/confsync.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "confirmation.h"
+
 /*
  * What an entry knows about the newest version of the operators' configuration,
  * how old that knowledge is, and when to read the store or to ask a peer.
@@ -28,13 +30,9 @@
 /* The first peer asked gets this time; the next one is asked then. */
 #define CONFSYNC_ASK_RETRY_MS INT64_C(300)
 
-/* Who last confirmed that the version in force is the newest. */
-enum confsync_source { CONFSYNC_NOBODY, CONFSYNC_STORE, CONFSYNC_PEER };
-
 struct confsync {
 	int64_t version; /* in force; 0: none yet */
-	int64_t confirmed_ms; /* no newer version existed at this time */
-	enum confsync_source confirmed_by;
+	struct confirmation confirmed; /* the version in force is the newest */
 	int64_t peer_version; /* the highest that a peer has reported */
 	int64_t reported_ms; /* when it did */
 	int64_t invalid_version; /* reported, but not usable here; 0: none */
@@ -78,7 +76,6 @@
 int64_t confsync_age_ms(const struct confsync *, int64_t now_ms);
 /* The last confirmation is at most max_ms old. */
 bool confsync_is_fresh(const struct confsync *, int64_t max_ms, int64_t now_ms);
-const char *confsync_source_name(enum confsync_source);
 
 /*
  * Whether to read now.  leads: this entry leads; watching: it has a revision to
--- a/core/listsync.c
+++ b/core/listsync.c
@@ -69,17 +69,14 @@
 static void
 prove(struct listsync *sync, int64_t at_ms)
 {
-	int64_t known_ms;
-
 	if (sync->proven_ms != 0 && at_ms - sync->proven_ms > LISTSYNC_GAP_MS)
 		note_away(sync, at_ms);
 	sync->proven_ms = at_ms;
 	if (at_ms - sync->away_ms < sync->settle_ms)
 		return;
 	sync->hung = false;
-	known_ms = at_ms - sync->report_ms - LISTSYNC_GAP_MS;
-	if (known_ms > sync->known_ms)
-		sync->known_ms = known_ms;
+	confirmation_note(&sync->known, CONFIRMED_BY_STORE,
+	    at_ms - sync->report_ms - LISTSYNC_GAP_MS);
 }
 
 void
@@ -216,14 +213,11 @@
 int64_t
 listsync_age_ms(const struct listsync *sync, int64_t now_ms)
 {
-	return sync->known_ms == 0 ? -1 : now_ms - sync->known_ms;
+	return confirmation_age_ms(&sync->known, now_ms);
 }
 
 bool
 listsync_is_fresh(const struct listsync *sync, int64_t now_ms)
 {
-	int64_t age_ms;
-
-	age_ms = listsync_age_ms(sync, now_ms);
-	return age_ms >= 0 && age_ms <= sync->fresh_ms;
+	return confirmation_is_fresh(&sync->known, sync->fresh_ms, now_ms);
 }
--- a/core/listsync.h
+++ b/core/listsync.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "confirmation.h"
+
 /*
  * What a leader knows about the list of workers in the store: how old that is,
  * and when to read or watch the list.
@@ -74,7 +76,7 @@
 	int64_t away_ms; /* the store may have been away until then */
 	int64_t settle_ms; /* time until workers have reported after that */
 	bool hung; /* a call has hung since the list was last proven */
-	int64_t known_ms; /* changes up to then are in the list; 0: none */
+	struct confirmation known; /* changes up to then are in the list */
 	int64_t proven_ms; /* start of the last complete call; 0: none */
 	bool read_wanted; /* the list may be incomplete */
 	int64_t read_ms; /* start of the last complete read */
--- a/core/sched.c
+++ b/core/sched.c
@@ -180,11 +180,9 @@
 		if (worker->inherited != RECORD_NONE &&
 		    !sched_worker_settled(worker))
 			load->unsettled++;
-		if (worker_usable(worker, now_ms)) {
+		load->barred[worker_bar(s, worker, now_ms)]++;
+		if (worker_usable(s, worker, now_ms))
 			load->usable++;
-			if (!worker_room_known(s, worker, now_ms))
-				load->room_unknown++;
-		}
 		add_worker_load(worker, load);
 	}
 	TAILQ_FOREACH (job, &s->open, link)
--- a/core/sched_drain.c
+++ b/core/sched_drain.c
@@ -81,8 +81,7 @@
 
 	RB_FOREACH (worker, sched_worker_tree, &p->s->workers) {
 		room_get_free(&worker->room, &left);
-		if (worker_usable(worker, p->now_ms) &&
-		    worker_room_known(p->s, worker, p->now_ms) &&
+		if (worker_startable(p->s, worker, p->now_ms) &&
 		    left.cpu_millis > 0)
 			p->free_cpu += left.cpu_millis;
 		TAILQ_FOREACH (run, &worker->runs, by_worker) {
--- a/core/sched_headroom.c
+++ b/core/sched_headroom.c
@@ -109,8 +109,9 @@
 	struct resources left;
 
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
-		if (!worker->listed || worker->draining || worker->inc.dead ||
-		    worker->inc.lapsed || strcmp(worker->service, service) != 0)
+		if (!worker->listed || worker->draining || worker->closed ||
+		    worker->inc.dead || worker->inc.lapsed ||
+		    strcmp(worker->service, service) != 0)
 			continue;
 		room_get_free(&worker->room, &left);
 		if (left.cpu_millis >= room->piece)
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -73,11 +73,19 @@
 /* Processes the workers that are due. */
 void worker_run_due(struct sched *, int64_t now_ms);
 void worker_free(struct sched *, struct sched_worker *);
-/* New tasks may be started on the worker. */
-bool worker_usable(const struct sched_worker *, int64_t now_ms);
 /* Advances the acknowledgement past ends whose jobs are saved. */
 void worker_acknowledge(struct sched_worker *);
 
+/* sched_startable.c */
+enum worker_bar worker_bar(
+    const struct sched *, const struct sched_worker *, int64_t now_ms);
+/* Tasks may be started on the worker. */
+bool worker_startable(
+    const struct sched *, const struct sched_worker *, int64_t now_ms);
+/* The same, but for what isn't known well enough of it at the moment. */
+bool worker_usable(
+    const struct sched *, const struct sched_worker *, int64_t now_ms);
+
 /* sched_room.c */
 /* Its room is known, or it refuses what it has no room for. */
 bool worker_room_known(
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -94,8 +94,7 @@
 		return false;
 	p->ncandidates = 0;
 	RB_FOREACH (worker, sched_worker_tree, &p->s->workers) {
-		if (!worker_usable(worker, p->now_ms) ||
-		    !worker_room_known(p->s, worker, p->now_ms))
+		if (!worker_startable(p->s, worker, p->now_ms))
 			continue;
 		p->candidates[p->ncandidates].worker = worker;
 		set_free(&p->candidates[p->ncandidates++]);
@@ -268,7 +267,7 @@
 	if (!fits(candidate, spec))
 		return false;
 	p->examined++;
-	return worker_usable(candidate->worker, p->now_ms) &&
+	return worker_startable(p->s, candidate->worker, p->now_ms) &&
 	    candidate->worker->inc.isolated_until_ms <= p->now_ms &&
 	    allowed(candidate->worker, task) &&
 	    (!spec->filler || filler_allowed(p, candidate->worker, task));
--- a/core/sched_waits.c
+++ b/core/sched_waits.c
@@ -39,13 +39,13 @@
 	struct sched_worker *worker;
 
 	RB_FOREACH (worker, sched_worker_tree, &s->workers) {
-		if (!worker_usable(worker, out->now_ms))
+		if (!worker_usable(s, worker, out->now_ms))
 			continue;
 		out->usable++;
 		if (!place_fits(worker, task))
 			continue;
 		out->with_room++;
-		if (worker_room_known(s, worker, out->now_ms))
+		if (worker_startable(s, worker, out->now_ms))
 			out->with_known_room++;
 	}
 }
@@ -64,6 +64,8 @@
 		return WAIT_INHERITED;
 	if (out->with_room == 0)
 		return WAIT_WORKERS;
+	if (s->closures_unknown)
+		return WAIT_CLOSURES;
 	return out->with_known_room == 0 ? WAIT_ROOMS : WAIT_TURN;
 }
 
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -130,6 +130,7 @@
 	if (!resources_equal(&worker->room.capacity, capacity))
 		refusal_over(s, worker);
 	room_set_capacity(&worker->room, capacity);
+	worker->closed = closure_set_has(&s->closed, worker->data_center);
 	crash_worker_listed(s, worker, now_ms);
 	if (!worker->listed) {
 		worker->listed = true;
@@ -216,24 +217,6 @@
 		incarnation_replace(s, worker, now_ms);
 }
 
-static bool
-may_start(const struct sched_worker *worker)
-{
-	return worker->record_may == RECORD_BIT(RECORD_IN_USE) &&
-	    worker->record_wanted == RECORD_IN_USE && worker->inc.misses == 0;
-}
-
-bool
-worker_usable(const struct sched_worker *worker, int64_t now_ms)
-{
-	if (!worker->listed || worker->draining || worker->inc.dead ||
-	    !may_start(worker) || !worker->inc.fenced ||
-	    worker->inc.unneeded > 0 || !SLIST_EMPTY(&worker->inc.strays) ||
-	    !incarnation_is_listed(worker))
-		return false;
-	return worker->inc.probe_ms <= now_ms;
-}
-
 /* Acknowledge ends whose jobs are saved, in the worker's order. */
 void
 worker_acknowledge(struct sched_worker *worker)
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "blame.h"
+#include "closures.h"
 #include "graph.h"
 #include "interference.h"
 #include "room.h"
@@ -353,6 +354,7 @@
 	struct task_name *inherited_tasks; /* recorded too; NULL: any task */
 	size_t ninherited_tasks;
 	bool draining;
+	bool closed; /* its data centre is closed by operators */
 	int64_t leaves_ms; /* earliest departure while draining; 0: unknown */
 	bool poll_pending;
 	int64_t poll_sent_ms;
@@ -507,10 +509,26 @@
 	uint64_t given_up; /* jobs failed because they crash workers */
 };
 
+/* Why nothing may be started on a worker; the first that holds. */
+enum worker_bar {
+	BAR_NONE,
+	BAR_GONE, /* not listed, or certainly over */
+	BAR_DRAINING,
+	BAR_CLOSED, /* its data centre is closed by operators */
+	BAR_SILENT, /* its last call has no answer */
+	BAR_UNRECORDED, /* the store doesn't hold that it is in use */
+	BAR_RUNS_UNKNOWN, /* not all that runs there is accounted for */
+	BAR_RESTARTED, /* its entry is that of a former incarnation */
+	BAR_FAILING, /* its last runs failed: it rests */
+	BAR_CLOSURES_UNKNOWN, /* which data centres are closed isn't known */
+	BAR_ROOM_UNKNOWN, /* its entry is too old */
+	BARS
+};
+
 /* Summary of the fleet, for logs. */
 struct sched_load {
 	uint32_t usable; /* workers that accept tasks */
-	uint32_t room_unknown; /* of these, with an entry that is too old */
+	uint32_t barred[BARS]; /* workers by what bars starts there */
 	uint32_t unsettled; /* may run unknown tasks of a former leader */
 	uint32_t workers;
 	int64_t cpu; /* capacity of the usable ones */
@@ -540,6 +558,8 @@
 	TAILQ_HEAD(, sched_queue) queues;
 	uint32_t next_serial;
 	bool frozen; /* another may lead: renew and start nothing */
+	struct closure_set closed; /* data centres closed by operators */
+	bool closures_unknown; /* others may have been closed: start nothing */
 	bool rooms_unknown; /* those of workers whose entries tell no time */
 	bool store_unavailable; /* poll less often */
 	uint32_t starts_allowed; /* by the link, in the next sched_act() */
@@ -709,6 +729,7 @@
 	WAIT_BACKOFF, /* its last run failed to start or was lost */
 	WAIT_UNSAVED, /* the loss of its last run isn't saved */
 	WAIT_INHERITED, /* it may run on a worker that hasn't answered */
+	WAIT_CLOSURES, /* which data centres are closed isn't known */
 	WAIT_ROOMS, /* the room of workers isn't known well enough */
 	WAIT_WORKERS, /* no usable worker has room or is suitable */
 	WAIT_TURN /* a worker has room: it waits for the next pass */
@@ -728,6 +749,14 @@
 void sched_explain_waiting(
     struct sched *, struct sched_waiting *, int64_t now_ms);
 
+/* The data centres that are closed by operators; the set is copied. */
+void sched_set_closures(struct sched *, const struct closure_set *);
+/* Workers that are listed in the data centre, and the runs on all there. */
+void sched_count_data_center(
+    const struct sched *, const char *, uint32_t *workers, uint32_t *runs);
+/* All workers of the service are in closed data centres. */
+bool sched_all_closed(const struct sched *, const char *service);
+
 /* Issue all due requests.  Call it after events and at sched->next_ms. */
 void sched_act(struct sched *, int64_t now_ms);
 
--- a/entry/accept.c
+++ b/entry/accept.c
@@ -45,7 +45,7 @@
 	bool outcome_unknown; /* a write of it may yet take effect */
 	bool relayed; /* from another entry: not forwarded again */
 	bool alone; /* written alone to find the job whose comparison failed */
-	bool no_room; /* long-running, and the queue has no room for it */
+	const char *refusal; /* why it can't be served now; NULL: it can */
 	node_replied *replied;
 	void *ctx;
 };
@@ -211,7 +211,7 @@
 			fail(job, "store_down");
 		return;
 	}
-	if (job->no_room) {
+	if (job->refusal != NULL) {
 		read_key(job, KEY_JOB, on_job_read);
 		return;
 	}
@@ -231,7 +231,7 @@
 	if (a->closed)
 		fail(job, "closing");
 	else if (result->error != KV_OK) {
-		job->no_room = false;
+		job->refusal = NULL;
 		submit(a, job);
 	} else if (result->nitems > 0)
 		finish(job, NODE_ACCEPTED, "stored_before", 0);
@@ -247,9 +247,9 @@
 }
 
 static void
-refuse_no_room(struct new_job *job)
+refuse(struct new_job *job)
 {
-	finish(job, NODE_NOT_DONE, "no_room", NO_ROOM_RETRY_AFTER_MS);
+	finish(job, NODE_NOT_DONE, job->refusal, NO_ROOM_RETRY_AFTER_MS);
 }
 
 static void
@@ -261,7 +261,7 @@
 static void
 on_ended_read(const struct kv_result *result, void *ctx)
 {
-	handle_read(ctx, result, refuse_no_room);
+	handle_read(ctx, result, refuse);
 }
 
 static struct new_job *
@@ -289,6 +289,20 @@
 	    ctx);
 }
 
+/* Why the job can't be served now; NULL: it can. */
+static const char *
+find_refusal(const struct node *node, const struct graph *graph)
+{
+	int64_t now_ms;
+
+	now_ms = clock_now_ms();
+	if (node_queue_shut(node, graph->queue, now_ms))
+		return "closed";
+	if (graph_lasts(graph) && node_queue_full(node, graph->queue, now_ms))
+		return "no_room";
+	return NULL;
+}
+
 void
 node_submit(struct node *node, struct graph *graph, int64_t deadline_ms,
     node_replied *replied, void *ctx)
@@ -297,8 +311,7 @@
 
 	job = job_new(node->accept, graph->id, deadline_ms, replied, ctx);
 	if (job != NULL)
-		job->no_room = graph_lasts(graph) &&
-		    node_queue_full(node, graph->queue, clock_now_ms());
+		job->refusal = find_refusal(node, graph);
 	if (job != NULL)
 		job->text = codec_graph(graph, &job->len);
 	graph_free(graph);
--- a/entry/config.c
+++ b/entry/config.c
@@ -7,8 +7,9 @@
 #include "node_int.h"
 
 /*
- * The operators' configuration.  A watch reports changes immediately, but it
- * can be delayed, cut off, or stop delivering without an error.  The key is
+ * All that operators write: the configuration, and the data centres that they
+ * close to new work.  A watch reports changes immediately, but it
+ * can be delayed, cut off, or stop delivering without an error.  The keys are
  * therefore also read, and peers are asked; core/confsync decides when.  Only a
  * higher version is ever applied.
  */
@@ -21,6 +22,7 @@
 config_init(struct node *node)
 {
 	confsync_init(&node->confsync);
+	closures_init(&node->closures);
 }
 
 void
@@ -107,34 +109,59 @@
 	return reading;
 }
 
+static void on_page(const struct kv_result *, void *);
+
+static void
+read_page(struct node *node, const char *after)
+{
+	const struct kv_ops *kv;
+
+	kv = &node->opt.kv;
+	kv->range(
+	    kv->self, node->opt.platform.config_prefix, after, on_page, node);
+}
+
+static void
+read_ended(struct node *node)
+{
+	node->config_reading = false;
+	closed_handle_read(node, node->confsync.read_ms, clock_now_ms());
+	confsync_read_done(&node->confsync, node->config_read_usable);
+	if (node->config_revision == 0)
+		node->config_revision = node->config_read_revision;
+}
+
 static void
-on_read(const struct kv_result *result, void *ctx)
+on_page(const struct kv_result *result, void *ctx)
 {
 	struct node *node;
-	bool usable;
 	size_t i;
 
 	node = ctx;
-	node->config_reading = false;
 	if (result->error != KV_OK) {
+		node->config_reading = false;
 		confsync_read_failed(&node->confsync);
 		return;
 	}
-	usable = true;
+	if (node->config_read_revision == 0)
+		node->config_read_revision = result->revision;
 	for (i = 0; i < result->nitems; i++) {
 		if (config_apply(node, &result->items[i], "read") ==
 		    CONFIG_INVALID)
-			usable = false;
+			node->config_read_usable = false;
 	}
-	confsync_read_done(&node->confsync, usable);
-	if (node->config_revision == 0)
-		node->config_revision = result->revision;
+	closed_handle_page(node, result);
+	if (result->more && result->nitems > 0)
+		read_page(node, result->items[result->nitems - 1].key);
+	else
+		read_ended(node);
 }
 
 static void
 on_watch(const struct kv_result *result, void *ctx)
 {
 	struct node *node;
+	int64_t now_ms;
 	size_t i;
 
 	node = ctx;
@@ -145,8 +172,12 @@
 		confsync_want_read(&node->confsync);
 		return;
 	}
-	for (i = 0; i < result->nitems; i++)
+	now_ms = clock_now_ms();
+	for (i = 0; i < result->nitems; i++) {
 		config_apply(node, &result->items[i], "watch");
+		closed_handle_event(node, &result->items[i], now_ms);
+	}
+	closures_advance(&node->closures, result->revision);
 	if (result->revision > node->config_revision)
 		node->config_revision = result->revision;
 }
@@ -169,19 +200,18 @@
 	    (long long)sync->version, (long long)sync->peer_version,
 	    (long long)(now_ms - sync->behind_ms),
 	    (long long)confsync_age_ms(sync, now_ms),
-	    confsync_source_name(sync->confirmed_by), node_has_store(node));
+	    confirmation_source_name(sync->confirmed.by), node_has_store(node));
 }
 
 static void
 read_store(struct node *node, int64_t now_ms)
 {
-	const struct kv_ops *kv;
-
-	kv = &node->opt.kv;
 	node->config_reading = true;
+	node->config_read_usable = true;
+	node->config_read_revision = 0;
+	closure_set_clear(&node->closures_read);
 	confsync_read_begin(&node->confsync, now_ms);
-	kv->range(
-	    kv->self, node->opt.platform.config_prefix, NULL, on_read, node);
+	read_page(node, NULL);
 }
 
 static void
--- a/entry/config_peer.c
+++ b/entry/config_peer.c
@@ -33,6 +33,7 @@
 	    json_pack("[IIII]", (json_int_t)row.sent, (json_int_t)row.returned,
 		(json_int_t)row.held_ms,
 		(json_int_t)confsync_age_ms(&node->confsync, now_ms)));
+	closed_add(node, message, now_ms);
 }
 
 /* Gets the peer's row; false if it sends none, as older releases do. */
@@ -79,11 +80,14 @@
 
 	config_handle_version(node, message, from, now_ms);
 	version = json_integer_value(json_object_get(message, "config"));
-	if (get_sync(message, &row, &age_ms) &&
-	    echo_receive(echo, &row, node->opened_ms, now_ms, &sent_ms) &&
-	    age_ms >= 0)
+	if (!get_sync(message, &row, &age_ms))
+		return;
+	if (!echo_receive(echo, &row, node->opened_ms, now_ms, &sent_ms))
+		sent_ms = -1;
+	else if (age_ms >= 0)
 		confsync_peer_confirmed(
 		    &node->confsync, version, sent_ms - age_ms);
+	closed_handle_peer(node, message, sent_ms, now_ms);
 }
 
 const struct echo *
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -196,6 +196,8 @@
 		goto fail;
 	if (options.former_ms == 0)
 		l->exclusive_revision = node->elect.leader.revision;
+	sched_set_closures(l->sched, &node->closures.set);
+	l->sched->closures_unknown = closed_is_unknown(node, l->opened_ms);
 	relay_worker_ops(l->order_relay, &l->workers);
 	apply_learnt(l, l->node->learnt);
 	TAILQ_FOREACH (member, &node->members, link)
@@ -357,17 +359,19 @@
 	sched_measure(l->sched, &load, now_ms);
 	fleet_note_rooms(l, &load, now_ms);
 	log_info("load",
-	    "workers=%u usable=%u room_unknown=%u unsettled=%u cpu=%lld "
+	    "workers=%u usable=%u closed=%u room_unknown=%u unsettled=%u "
+	    "cpu=%lld "
 	    "claimed=%lld "
 	    "fillers=%lld "
 	    "running=%u waiting=%u waiting_fillers=%u serving=%u late=%u "
 	    "paced=%u serving_use=%.2f starts=%llu looks=%llu stills=%llu "
 	    "moves=%llu restarts=%llu list_age_ms=%lld",
-	    load.workers, load.usable, load.room_unknown, load.unsettled,
-	    (long long)load.cpu, (long long)load.claimed,
-	    (long long)load.fillers, load.running, load.waiting,
-	    load.waiting_fillers, load.serving, load.late, load.paced,
-	    l->sched->serving_use, (unsigned long long)l->sched->counts.starts,
+	    load.workers, load.usable, load.barred[BAR_CLOSED],
+	    load.barred[BAR_ROOM_UNKNOWN], load.unsettled, (long long)load.cpu,
+	    (long long)load.claimed, (long long)load.fillers, load.running,
+	    load.waiting, load.waiting_fillers, load.serving, load.late,
+	    load.paced, l->sched->serving_use,
+	    (unsigned long long)l->sched->counts.starts,
 	    (unsigned long long)l->sched->counts.polls,
 	    (unsigned long long)l->sched->counts.stalled,
 	    (unsigned long long)l->sched->counts.moves,
@@ -391,6 +395,8 @@
 		return "may_run_elsewhere";
 	case WAIT_WORKERS:
 		return "no_worker";
+	case WAIT_CLOSURES:
+		return "closures_unknown";
 	case WAIT_ROOMS:
 		return "list_old";
 	case WAIT_TURN:
@@ -441,10 +447,12 @@
 	relay_tick(l->order_relay, now_ms);
 	save_tick(l, now_ms);
 	fleet_tick(l, now_ms);
+	lead_closed_check(l, now_ms);
 	sweep_tick(l, now_ms);
 	if (l->ready && now_ms - l->load_logged_ms >= LOAD_LOG_INTERVAL_MS) {
 		log_load(l, now_ms);
 		log_waiting(l, now_ms);
+		lead_closed_log(l, now_ms);
 	}
 }
 
--- a/entry/lead_fleet.c
+++ b/entry/lead_fleet.c
@@ -373,8 +373,8 @@
 	bool was_known, is_known;
 
 	was_known = l->room_unknown == 0;
-	is_known = load->room_unknown == 0;
-	l->room_unknown = load->room_unknown;
+	is_known = load->barred[BAR_ROOM_UNKNOWN] == 0;
+	l->room_unknown = load->barred[BAR_ROOM_UNKNOWN];
 	if (was_known == is_known)
 		return;
 	if (is_known) {
@@ -384,7 +384,7 @@
 	}
 	l->entries_old_ms = now_ms;
 	log_warn("worker_entries_old", "workers=%u usable=%u limit_ms=%lld",
-	    load->room_unknown, load->usable,
+	    load->barred[BAR_ROOM_UNKNOWN], load->usable,
 	    (long long)l->sched->opt.entry_max_ms);
 }
 
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -173,6 +173,12 @@
 extern const struct sched_actions lead_sched_actions;
 void lead_late_ends(const char *id, const struct poll_result *, void *ctx);
 
+/* lead_closed.c */
+/* Starts nothing while other data centres may have been closed. */
+void lead_closed_check(struct lead *, int64_t now_ms);
+/* Logs how much still runs in each closed data centre. */
+void lead_closed_log(struct lead *, int64_t now_ms);
+
 /* lead_fleet.c */
 /* Takes the entry of a worker; call_number: of the call that returned it. */
 void fleet_worker(struct lead *, uint64_t call_number, const struct kv_item *,
--- a/entry/members.c
+++ b/entry/members.c
@@ -394,14 +394,17 @@
 }
 
 /*
- * Takes ownership of the list.  NULL if the leader runs a version that doesn't
- * send one.
+ * Takes ownership of the lists.  NULL if the leader runs a version that doesn't
+ * send them.
  */
 static void
-set_full_queues(struct node *node, json_t *full, int64_t now_ms)
+set_refusing_queues(
+    struct node *node, json_t *full, json_t *shut, int64_t now_ms)
 {
 	json_decref(node->full);
+	json_decref(node->shut);
 	node->full = full;
+	node->shut = shut;
 	node->full_ms = now_ms;
 }
 
@@ -445,8 +448,8 @@
 	json_decref(node->pending);
 	node->pending = json_incref(json_object_get(message, "pending"));
 	node->pending_ms = now_ms;
-	set_full_queues(
-	    node, json_incref(json_object_get(message, "full")), now_ms);
+	set_refusing_queues(node, json_incref(json_object_get(message, "full")),
+	    json_incref(json_object_get(message, "shut")), now_ms);
 }
 
 static void
@@ -619,14 +622,15 @@
 static json_t *
 heartbeat_common(struct node *node, int64_t now_ms, uint32_t members)
 {
-	return json_pack("{ss ss ss sI sI sI sb sI si so sO}", "t", "beat",
+	return json_pack("{ss ss ss sI sI sI sb sI si so sO sO}", "t", "beat",
 	    "id", node->id, "address", node->address, "incarnation",
 	    (json_int_t)node->incarnation, "term",
 	    (json_int_t)node->elect.leader.term, "revision",
 	    (json_int_t)node->elect.leader.revision, "store",
 	    (int)lead_has_store(node->lead, now_ms), "config",
 	    (json_int_t)node->confsync.version, "members", (int)members,
-	    "pending", lead_pending(node->lead), "full", node->full);
+	    "pending", lead_pending(node->lead), "full", node->full, "shut",
+	    node->shut);
 }
 
 static json_t *
@@ -670,7 +674,8 @@
 
 	remove_silent_members(node, now_ms);
 	n = count_members(node);
-	set_full_queues(node, lead_full_queues(node->lead), now_ms);
+	set_refusing_queues(node, lead_full_queues(node->lead),
+	    lead_shut_queues(node->lead), now_ms);
 	common = heartbeat_common(node, now_ms, n > 0 ? n - 1 : 0);
 	list = encode_member_list(node);
 	learnt = NULL;
--- a/entry/node.c
+++ b/entry/node.c
@@ -101,6 +101,12 @@
 	age_ms = node->lead != NULL ? lead_list_age_ms(node->lead) : 0;
 	counter_set(counter_get("lagoonpin_worker_list_age_ms", ""),
 	    age_ms > 0 ? (uint64_t)age_ms : 0);
+	counter_set(counter_get("lagoonpin_data_centers_closed", ""),
+	    node->closures.set.n);
+	age_ms = confirmation_age_ms(&node->closures.confirmed, clock_now_ms());
+	if (age_ms >= 0)
+		counter_set(counter_get("lagoonpin_closures_age_ms", ""),
+		    (uint64_t)age_ms);
 	counter_set(counter_get("lagoonpin_workers_room_unknown", ""),
 	    node->lead != NULL ? lead_rooms_unknown(node->lead) : 0);
 }
@@ -265,6 +271,8 @@
 	node->pending = NULL;
 	json_decref(node->full);
 	node->full = NULL;
+	json_decref(node->shut);
+	node->shut = NULL;
 	json_decref(node->learnt);
 	node->learnt = NULL;
 	config_close(node);
@@ -329,19 +337,31 @@
 /* Older reports of full queues say nothing about the present room. */
 #define FULL_MAX_AGE_MS 1500
 
-bool
-node_queue_full(const struct node *node, const char *queue, int64_t now_ms)
+static bool
+has_name(const json_t *names, const char *wanted)
 {
 	const json_t *name;
 	size_t i;
 
-	if (now_ms - node->full_ms > FULL_MAX_AGE_MS)
-		return false;
-	json_array_foreach(node->full, i, name)
+	json_array_foreach(names, i, name)
 	{
 		if (json_is_string(name) &&
-		    strcmp(json_string_value(name), queue) == 0)
+		    strcmp(json_string_value(name), wanted) == 0)
 			return true;
 	}
 	return false;
 }
+
+bool
+node_queue_full(const struct node *node, const char *queue, int64_t now_ms)
+{
+	return now_ms - node->full_ms <= FULL_MAX_AGE_MS &&
+	    has_name(node->full, queue);
+}
+
+bool
+node_queue_shut(const struct node *node, const char *queue, int64_t now_ms)
+{
+	return now_ms - node->full_ms <= FULL_MAX_AGE_MS &&
+	    has_name(node->shut, queue);
+}
--- a/entry/node.h
+++ b/entry/node.h
@@ -27,6 +27,8 @@
 	int64_t harm_ms; /* a serving task may be late for so long */
 	int64_t config_apply_ms; /* a change is in force within this time */
 	int64_t list_apply_ms; /* the same of a change of a worker's entry */
+	/* The same of operators' closing a data centre; 0: no bound. */
+	int64_t closure_apply_ms;
 	int64_t worker_report_ms; /* workers rewrite their entries so often */
 	struct kv_ops kv;
 	struct worker_ops workers;
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -5,6 +5,7 @@
 
 #include <jansson.h>
 
+#include "closures.h"
 #include "codec.h"
 #include "confsync.h"
 #include "echo.h"
@@ -140,6 +141,11 @@
 	/* configuration */
 	struct confsync confsync;
 	const struct entry_config *config;
+	struct closures closures; /* data centres that operators closed */
+	/* of the read under way: */
+	struct closure_set closures_read;
+	int64_t config_read_revision; /* of its first page; 0: none yet */
+	bool config_read_usable;
 	int64_t config_revision; /* the watch continues from here */
 	bool config_reading;
 	bool config_watching;
@@ -158,7 +164,8 @@
 	json_t *pending;
 	int64_t pending_ms;
 	json_t *full; /* queues without room for long-running jobs, or NULL */
-	int64_t full_ms; /* when the leader reported it */
+	json_t *shut; /* queues whose workers are all closed, or NULL */
+	int64_t full_ms; /* when the leader reported both */
 	int64_t outranked_ms; /* another member should lead since; 0: none */
 };
 
@@ -207,6 +214,21 @@
 enum config_reading config_apply(
     struct node *, const struct kv_item *, const char *source);
 
+/* closed.c: data centres that operators closed */
+/* Takes an item that a watch returned, if it closes or opens one. */
+void closed_handle_event(struct node *, const struct kv_item *, int64_t now_ms);
+/* Collects those of a page of a read. */
+void closed_handle_page(struct node *, const struct kv_result *);
+/* The read that began at begun_ms is complete. */
+void closed_handle_read(struct node *, int64_t begun_ms, int64_t now_ms);
+/* Adds what is known and how long ago it was confirmed. */
+void closed_add(struct node *, json_t *message, int64_t now_ms);
+/* Takes what a peer knows; sent_ms: not sent before, or -1 if not known. */
+void closed_handle_peer(
+    struct node *, const json_t *message, int64_t sent_ms, int64_t now_ms);
+/* What is known may be too old to start tasks by. */
+bool closed_is_unknown(const struct node *, int64_t now_ms);
+
 /* config_peer.c: the configuration between entries */
 void config_peer_tick(struct node *, int64_t now_ms);
 /* Adds how long ago our version was confirmed to be the newest. */
@@ -232,6 +254,8 @@
 bool node_has_store(const struct node *);
 /* The leader has no room for new long-running jobs of this queue. */
 bool node_queue_full(const struct node *, const char *queue, int64_t now_ms);
+/* All workers of this queue are in closed data centres. */
+bool node_queue_shut(const struct node *, const char *queue, int64_t now_ms);
 
 /* election.c: the leader record in the store */
 void election_read_record(struct elect *, void *ctx);
@@ -243,6 +267,8 @@
 void lead_close(struct lead *);
 void lead_tick(struct lead *, int64_t now_ms);
 void lead_config(struct lead *);
+/* Takes the data centres that are closed now. */
+void lead_closures(struct lead *);
 /* Answers of workers that a member relayed; lead may be NULL. */
 void lead_handle_answers(struct lead *, const void *message, size_t len);
 /* The list of members changed. */
@@ -261,6 +287,8 @@
  * Queues without room for new long-running jobs; see sched_measure_headroom().
  */
 json_t *lead_full_queues(struct lead *);
+/* Queues all of whose workers are in closed data centres. */
+json_t *lead_shut_queues(struct lead *);
 /* Interference effects for the next leader; see interference_foreach(). */
 json_t *lead_learnt(struct lead *);
 typedef void lead_answered(
--- a/entry/seam.h
+++ b/entry/seam.h
@@ -163,11 +163,16 @@
 
 struct platform_ops {
 	void *self;
-	const char *config_prefix; /* watched for the configuration */
+	const char *config_prefix; /* watched for all that operators write */
 	const char *workers_prefix; /* watched for workers */
 	/* Sets *config if it returns CONFIG_NEWER. */
 	enum config_reading (*config)(void *self, const char *key,
 	    const char *value, size_t len, const struct entry_config **config);
+	/*
+	 * The data centre that the key closes to new work while it exists;
+	 * NULL: it doesn't close any.
+	 */
+	const char *(*closure)(void *self, const char *key);
 	/* false: not a worker, or invalid. */
 	bool (*worker)(void *self, const char *key, const char *value,
 	    size_t len, struct worker_info *);
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -28,6 +28,8 @@
 constexpr int64_t kStoreTimeoutMs = 1000, kReportHangMs = 700;
 constexpr int64_t kWatchSlackMs = 700;
 constexpr int64_t kWorkerCpu = 8000;
+// The users' bound on the closing of a data centre.
+constexpr int64_t kClosureApplyMs = 5000;
 
 struct Item {
 	std::string value;
@@ -63,6 +65,7 @@
 	int64_t cpu = kWorkerCpu, reported_cpu = kWorkerCpu;
 	int64_t cpu_changed_ms = 0, next_report_ms = 0;
 	bool guards_room = false; // it refuses what it has no room for
+	std::string data_center = "here";
 	int reports_to_lose = 0; // writes that the store loses, and serves on
 
 	int64_t
@@ -149,6 +152,7 @@
 		options.config_apply_ms = 2000;
 		options.list_apply_ms = kListApplyMs;
 		options.worker_report_ms = kReportMs;
+		options.closure_apply_ms = kClosureApplyMs;
 		Client &client = clients[id];
 		client = Client();
 		client.world = this;
@@ -156,8 +160,8 @@
 		options.kv = { &client, Get, Range, Watch, Txn, AnsweredMs,
 			FailedMs };
 		options.workers = { this, Start, Stop, Pace, Poll };
-		options.platform = { &client, "c/", "w/", Config, WorkerEntry,
-			WorkerId };
+		options.platform = { &client, "c/", "w/", Config, Closure,
+			WorkerEntry, WorkerId };
 		// Use ports below the range that the system gives to clients;
 		// other programs on the machine may occupy some of them.
 		for (int i = 0; i < 20 && opened == nullptr; i++) {
@@ -369,6 +373,31 @@
 			Put("w/" + id, id);
 	}
 
+	// An operator closes a data centre to new work, and opens it.
+	void
+	CloseDataCenter(const std::string &name)
+	{
+		closed_ms[name] = clock_now_ms();
+		Put("c/closed/" + name, "{}");
+	}
+
+	void
+	OpenDataCenter(const std::string &name)
+	{
+		closed_ms.erase(name);
+		items.erase("c/closed/" + name);
+		revision++;
+	}
+
+	bool
+	IsClosedLongSince(const std::string &name) const
+	{
+		auto found = closed_ms.find(name);
+
+		return found != closed_ms.end() &&
+		    clock_now_ms() - found->second > kClosureApplyMs;
+	}
+
 	// The worker announces that it drains, and the earliest time of its
 	// departure.
 	void
@@ -854,6 +883,8 @@
 			}
 			if (worker.draining)
 				self->starts_draining++;
+			self->starts_closed +=
+			    self->IsClosedLongSince(worker.data_center);
 			int64_t cpu =
 			    self->task_cpu[name.substr(0, name.find('.'))];
 			if (worker.Used() + cpu > worker.cpu) {
@@ -915,9 +946,11 @@
 
 	// The value is the version; only a higher one is taken.
 	static enum config_reading
-	Config(void *ctx, const char *, const char *value, size_t len,
+	Config(void *ctx, const char *key, const char *value, size_t len,
 	    const struct entry_config **config)
 	{
+		if (strcmp(key, "c/config") != 0)
+			return CONFIG_OTHER;
 		Client *client = Store(ctx);
 		int64_t version = std::stoll(std::string(value, len));
 
@@ -928,6 +961,11 @@
 		*config = &client->config;
 		return CONFIG_NEWER;
 	}
+	static const char *
+	Closure(void *, const char *key)
+	{
+		return strncmp(key, "c/closed/", 9) == 0 ? key + 9 : nullptr;
+	}
 	static bool
 	WorkerEntry(void *ctx, const char *key, const char *value, size_t len,
 	    struct worker_info *info)
@@ -948,6 +986,8 @@
 		size_t last = text.rfind(':');
 		if (last != colon)
 			info->written_ms = std::stoll(text.substr(last + 1));
+		strlcpy(info->data_center, worker.data_center.c_str(),
+		    sizeof(info->data_center));
 		info->draining = worker.draining;
 		info->guards_room = worker.guards_room;
 		info->leaves_in_ms =
@@ -1004,6 +1044,8 @@
 	std::map<std::string, int64_t> seen_ms;
 	int64_t longest_absence_ms = 0;
 	int accepted = 0, refused = 0, duplicate_runs = 0, starts_draining = 0;
+	std::map<std::string, int64_t> closed_ms; // data centres
+	int starts_closed = 0; // there, after the bound
 	// On workers that don't guard it, after the bound on its change.
 	int starts_over_room = 0;
 	int64_t retry_after_ms = 0; // of the last refusal
--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -122,6 +122,44 @@
 	    fail "worker $1 refused its capacity"
 }
 
+# close_data_center ZONE BOUND-MS WORKER... : closes it to new work, as an
+# operator does; starts on these workers count as wrong from BOUND-MS on.
+close_data_center()
+{
+	p_zone=$1
+	p_bound=$2
+	shift 2
+	write_operators "{\"writes\":[{\"key\":\"op/evacuate/$p_zone\",
+	    \"value\":\"e30=\"}]}"
+	for p_worker; do
+		set_closed "$p_worker" "$p_bound"
+	done
+}
+
+# open_data_center ZONE WORKER...
+open_data_center()
+{
+	p_zone=$1
+	shift
+	for p_worker; do
+		set_closed "$p_worker" -1
+	done
+	write_operators "{\"remove\":[\"op/evacuate/$p_zone\"]}"
+}
+
+set_closed()	# WORKER IN-MS
+{
+	get -f -o /dev/null -d "{\"closed_in_ms\":$2}" \
+	    "http://127.0.0.1:$((base + 39 + $1))/fault" ||
+	    fail "worker $1 refused to be closed"
+}
+
+write_operators()	# TRANSACTION
+{
+	get -f -o /dev/null -H 'X-Platform-Writer: 1' -d "$1" \
+	    "$store/kv-txn" || fail "the store refused $1"
+}
+
 settings_of()	# NUMBER : prints the settings file of an entry
 {
 	p_port=$((base + 3 * $1))
@@ -133,7 +171,8 @@
 	  "ready_addr":"127.0.0.1:$((p_port + 1))"},
 	 "internal_ports":[$((p_port + 2)),$((p_port + 2))],
 	 "limits":{"cpu_share":0.5,"link_mbps":200},
-	 "bounds":{"max_hold_ms":6000,"grace_s":${grace_s:-6},"status_s":120},
+	 "bounds":{"max_hold_ms":6000,"grace_s":${grace_s:-6},"status_s":120,
+	  "evacuate_ms":${closure_ms:-0},"max_stretch_ms":${stretch_ms:-0}},
 	 "platform":{"address":"$(eval "echo \${entry_$1_store:-$store}")"}}
 	EOF
 }
@@ -196,7 +235,8 @@
 	p_stats=$(get "$workers/stats")
 	say "callers: $(cat "$out/callers.out")"
 	say "workers: $p_stats"
-	for p_field in two_places done_again bad no_room_late over_room_late; do
+	for p_field in two_places done_again bad no_room_late over_room_late \
+	    closed_starts; do
 		[ "$(echo "$p_stats" | jq ".$p_field")" = 0 ] ||
 		    fail "$p_field: $p_stats"
 	done
--- a/tests/test_accept.cc
+++ b/tests/test_accept.cc
@@ -45,8 +45,8 @@
 		options.config_apply_ms = 2000;
 		options.kv = { this, Get, Range, Watch, Txn, AnsweredMs,
 			FailedMs };
-		options.platform = { this, "c/", "w/", Config, WorkerEntry,
-			WorkerId };
+		options.platform = { this, "c/", "w/", Config, Closure,
+			WorkerEntry, WorkerId };
 		/* The port may be in use by another program. */
 		for (int i = 0; i < 20 && node == nullptr; i++) {
 			options.port++;
@@ -163,6 +163,11 @@
 	{
 		return CONFIG_OTHER;
 	}
+	static const char *
+	Closure(void *, const char *)
+	{
+		return nullptr;
+	}
 	static bool
 	WorkerEntry(
 	    void *, const char *, const char *, size_t, struct worker_info *)
--- a/tests/test_confsync.cc
+++ b/tests/test_confsync.cc
@@ -56,7 +56,7 @@
 	Read(kNow);
 	confsync_peer_confirmed(&sync, 3, kNow - 500);
 	EXPECT_EQ(confsync_age_ms(&sync, kNow), 0);
-	EXPECT_EQ(sync.confirmed_by, CONFSYNC_STORE);
+	EXPECT_EQ(sync.confirmed.by, CONFIRMED_BY_STORE);
 }
 
 // Guards against a peer with another version confirming ours.
@@ -69,7 +69,7 @@
 	EXPECT_EQ(confsync_age_ms(&sync, kNow + 400), 400);
 	confsync_peer_confirmed(&sync, 3, kNow + 400);
 	EXPECT_EQ(confsync_age_ms(&sync, kNow + 400), 0);
-	EXPECT_EQ(sync.confirmed_by, CONFSYNC_PEER);
+	EXPECT_EQ(sync.confirmed.by, CONFIRMED_BY_PEER);
 }
 
 // Guards against a version that can't be used making the older one look new.
--- a/tests/test_listsync.cc
+++ b/tests/test_listsync.cc
@@ -256,7 +256,7 @@
 TEST_F(ListSync, AFailedReadProvesThatWorkersMayHaveFailedToo)
 {
 	Pass(3000, 4);
-	int64_t known_ms = sync.known_ms;
+	int64_t known_ms = sync.known.at_ms;
 
 	listsync_want_read(&sync);
 	for (int i = 0; i < 8; i++) {
@@ -267,7 +267,7 @@
 		else
 			Answer(read);
 	}
-	EXPECT_EQ(sync.known_ms, known_ms);
+	EXPECT_EQ(sync.known.at_ms, known_ms);
 }
 
 // Guards against a list of which only the first page is new.
@@ -297,13 +297,13 @@
 // Guards against a watch that confirms a list with a gap.
 TEST_F(ListSync, AWatchProvesNothingWhileAReadIsWanted)
 {
-	int64_t known_ms = sync.known_ms;
+	int64_t known_ms = sync.known.at_ms;
 	struct listsync_call watch = Begin(LISTSYNC_WATCH);
 
 	listsync_want_read(&sync);
 	now += 1000;
 	Answer(watch);
-	EXPECT_EQ(sync.known_ms, known_ms);
+	EXPECT_EQ(sync.known.at_ms, known_ms);
 }
 
 // Guards against a leader that never starts anything where the bound is
