--- a/core/closures.c
+++ b/core/closures.c
@@ -62,16 +62,14 @@
 	return true;
 }
 
-bool
-closures_replace(struct closures *closures, const struct closure_set *set,
-    int64_t revision, int64_t now_ms)
+/* Returns true if it changes what is closed. */
+static bool
+set_names(
+    struct closures *closures, const struct closure_set *set, int64_t now_ms)
 {
 	struct closures before;
 	size_t i, at;
 
-	if (revision < closures->revision)
-		return false;
-	closures->revision = revision;
 	if (is_same(&closures->set, set))
 		return false;
 	before = *closures;
@@ -84,6 +82,17 @@
 	return true;
 }
 
+bool
+closures_replace(struct closures *closures, const struct closure_set *set,
+    int64_t revision, int64_t now_ms)
+{
+	if (revision < closures->revision)
+		return false;
+	closures->revision = revision;
+	closures->complete = true;
+	return set_names(closures, set, now_ms);
+}
+
 bool
 closures_change(struct closures *closures, const char *name, bool closed,
     int64_t revision, int64_t now_ms)
@@ -101,14 +110,9 @@
 	}
 	if (closed)
 		closure_set_add(&set, name);
-	return closures_replace(closures, &set, revision, now_ms);
-}
-
-void
-closures_advance(struct closures *closures, int64_t revision)
-{
-	if (revision > closures->revision)
-		closures->revision = revision;
+	closures->revision = revision;
+	closures->complete = false;
+	return set_names(closures, &set, now_ms);
 }
 
 bool
--- a/core/closures.h
+++ b/core/closures.h
@@ -28,7 +28,12 @@
 struct closures {
 	struct closure_set set;
 	int64_t since_ms[CLOSURES_MAX]; /* known here since, by index of set */
-	int64_t revision; /* of the store, for which this is all; 0: none yet */
+	int64_t revision; /* of the store, as of the last change; 0: none yet */
+	/*
+	 * That is all as of the revision.  A watch may omit changes, so after
+	 * one of its changes that isn't known until the next read.
+	 */
+	bool complete;
 	struct confirmation confirmed;
 };
 
@@ -47,8 +52,6 @@
 /* The watch tells a change of one; returns the same. */
 bool closures_change(struct closures *, const char *name, bool closed,
     int64_t revision, int64_t now_ms);
-/* The watch has told all changes up to this revision. */
-void closures_advance(struct closures *, int64_t revision);
 bool closures_has(const struct closures *, const char *name);
 
 #endif /* CLOSURES_H */
--- a/entry/closed.c
+++ b/entry/closed.c
@@ -73,6 +73,8 @@
 	if (closures_change(&node->closures, name, item->value != NULL,
 		item->revision, now_ms))
 		note_change(node, &before, "watch");
+	if (!node->closures.complete)
+		confsync_want_read(&node->confsync);
 }
 
 void
@@ -106,6 +108,8 @@
 	size_t i;
 
 	closures = &node->closures;
+	if (!closures->complete)
+		return;
 	names = json_array();
 	for (i = 0; i < closures->set.n; i++)
 		json_array_append_new(
--- a/entry/config.c
+++ b/entry/config.c
@@ -177,7 +177,6 @@
 		config_apply(node, &result->items[i], "watch");
 		closed_handle_event(node, &result->items[i], now_ms);
 	}
-	closures_advance(&node->closures, result->revision);
 	if (result->revision > node->config_revision)
 		node->config_revision = result->revision;
 }
