--- a/tests/test_httpc.cc
+++ b/tests/test_httpc.cc
@@ -63,6 +63,7 @@
 	struct Conn {
 		uv_tcp_t tcp;
 		Peer *peer;
+		bool silent = false; /* it answers nothing any more */
 		std::string in;
 		char buf[4096];
 	};
@@ -104,6 +105,8 @@
 			drop(c);
 			return;
 		}
+		if (c->silent)
+			return;
 		c->in.append(b->base, (size_t)n);
 		/* Requests in these tests have no body or end with "END". */
 		if (c->in.find("\r\n\r\n") == std::string::npos ||
@@ -128,6 +131,7 @@
 			    (char *)step.answer.data(), step.answer.size());
 			uv_try_write((uv_stream_t *)&c->tcp, &buf, 1);
 		}
+		c->silent = step.answer.empty();
 		if (step.close) {
 			forget(c);
 			drop(c);
@@ -426,6 +430,27 @@
 	}
 }
 
+/* Guards against calls that are lost on a connection gone silent for good. */
+TEST_F(Httpc, a_connection_that_went_silent_is_not_used_again)
+{
+	Peer &p = peer({ { WHOLE, false }, { "", false }, { WHOLE, false } });
+	std::string url = p.url();
+	Outcome first, lost, next;
+	struct httpc_request r = request(url, &lost);
+
+	ASSERT_NE(start(request(url, &first)), nullptr);
+	wait_for(first);
+	EXPECT_EQ(first.error, HTTPC_OK);
+	r.timeout_ms = 100;
+	ASSERT_NE(start(r), nullptr);
+	wait_for(lost);
+	EXPECT_EQ(lost.error, HTTPC_ERR_TIMEOUT);
+	ASSERT_NE(start(request(url, &next)), nullptr);
+	wait_for(next);
+	EXPECT_EQ(next.error, HTTPC_OK);
+	EXPECT_EQ(p.requests, 3U);
+}
+
 TEST_F(Httpc, answer_over_the_limit_is_refused)
 {
 	Peer &p = peer({ { WHOLE, false }, { WHOLE, false } });
