--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -28,8 +28,6 @@
 constexpr int64_t kStoreTimeoutMs = 1000, kReportHangMs = 700;
 constexpr int64_t kWatchSlackMs = 700;
 constexpr int64_t kWorkerCpu = 8000;
-// The users' bound on the closing of a data centre.
-constexpr int64_t kClosureApplyMs = 5000;
 
 struct Item {
 	std::string value;
@@ -152,7 +150,7 @@
 		options.config_apply_ms = 2000;
 		options.list_apply_ms = kListApplyMs;
 		options.worker_report_ms = kReportMs;
-		options.closure_apply_ms = kClosureApplyMs;
+		options.closure_apply_ms = closure_apply_ms;
 		Client &client = clients[id];
 		client = Client();
 		client.world = this;
@@ -395,7 +393,7 @@
 		auto found = closed_ms.find(name);
 
 		return found != closed_ms.end() &&
-		    clock_now_ms() - found->second > kClosureApplyMs;
+		    clock_now_ms() - found->second > closure_apply_ms;
 	}
 
 	// The worker announces that it drains, and the earliest time of its
@@ -1044,6 +1042,8 @@
 	std::map<std::string, int64_t> seen_ms;
 	int64_t longest_absence_ms = 0;
 	int accepted = 0, refused = 0, duplicate_runs = 0, starts_draining = 0;
+	// The users' bound on the closing of a data centre; 0: none.
+	int64_t closure_apply_ms = 0;
 	std::map<std::string, int64_t> closed_ms; // data centres
 	int starts_closed = 0; // there, after the bound
 	// On workers that don't guard it, after the bound on its change.
--- a/tests/test_closed.cc
+++ b/tests/test_closed.cc
@@ -8,6 +8,13 @@
 // Entries and two workers, of which one is in a data centre that is closed.
 class ClosedDataCenter : public Handover {
       protected:
+	void
+	SetUp() override
+	{
+		closure_apply_ms = 5000;
+		Handover::SetUp();
+	}
+
 	void
 	Begin()
 	{
