--- a/tests/process/platform_rejected_entries.sh
+++ b/tests/process/platform_rejected_entries.sh
@@ -28,6 +28,8 @@
 entry_2_store=$second_store
 entry_3_store=$second_store
 start_platform_entries 3
+# Entries are ready before they have heard of a leader; then they count jobs.
+wait_everywhere 3 q 200
 version=1
 for mode in busy reset silent watches none; do
 	reject_calls "$mode"
