--- a/tests/test_submit.cc
+++ b/tests/test_submit.cc
@@ -255,6 +255,45 @@
 	platform_config_close(w);
 }
 
+// Guards against a key that names no data centre and closes all of them.
+TEST(PlatformConfig, AClosureNamesADataCenterOrIsPassedOver)
+{
+	struct platform_config *w = platform_config_open();
+	std::string too_long(GRAPH_NAME_MAX, 'x');
+	struct platform_ops ops;
+
+	platform_config_ops(w, &ops);
+	EXPECT_STREQ(ops.closure(ops.self, "op/evacuate/sala-sur"), "sala-sur");
+	EXPECT_EQ(ops.closure(ops.self, "op/evacuate/"), nullptr);
+	EXPECT_EQ(ops.closure(ops.self, ("op/evacuate/" + too_long).c_str()),
+	    nullptr);
+	EXPECT_EQ(ops.closure(ops.self, "op/config"), nullptr);
+	EXPECT_EQ(ops.closure(ops.self, "op/wave/1"), nullptr);
+	platform_config_close(w);
+}
+
+TEST(PlatformConfig, AWorkersTimeOfWritingIsRead)
+{
+	struct platform_config *w = platform_config_open();
+	std::string worker = kWorker;
+	struct worker_info info;
+	struct platform_ops ops;
+
+	platform_config_ops(w, &ops);
+	memset(&info, 0, sizeof(info));
+	ASSERT_TRUE(ops.worker(
+	    ops.self, "servers/i-1", worker.data(), worker.size(), &info));
+	EXPECT_EQ(info.written_ms, 0);
+	worker.insert(1, "\"clock_ms\":482113,");
+	ASSERT_TRUE(ops.worker(
+	    ops.self, "servers/i-1", worker.data(), worker.size(), &info));
+	EXPECT_EQ(info.written_ms, 482113);
+	worker.replace(worker.find("482113"), 6, "-1");
+	EXPECT_FALSE(ops.worker(
+	    ops.self, "servers/i-1", worker.data(), worker.size(), &info));
+	platform_config_close(w);
+}
+
 TEST(PlatformConfig, NoBytesEndTheProcess)
 {
 	struct platform_config *w = platform_config_open();
