--- a/core/closures.c
+++ b/core/closures.c
@@ -120,3 +120,17 @@
 {
 	return closure_set_has(&closures->set, name);
 }
+
+void
+closures_confirm(
+    struct closures *closures, enum confirmation_source source, int64_t at_ms)
+{
+	if (closures->complete)
+		confirmation_note(&closures->confirmed, source, at_ms);
+}
+
+bool
+closures_are_all(const struct closures *closures)
+{
+	return closures->complete && !closures->set.overflow;
+}
--- a/core/closures.h
+++ b/core/closures.h
@@ -52,6 +52,11 @@
 /* The watch tells a change of one; returns the same. */
 bool closures_change(struct closures *, const char *name, bool closed,
     int64_t revision, int64_t now_ms);
+/* Unless a newer change makes it unknown, that was all at this time. */
+void closures_confirm(
+    struct closures *, enum confirmation_source, int64_t at_ms);
 bool closures_has(const struct closures *, const char *name);
+/* The names are all that is closed: others may go by them. */
+bool closures_are_all(const struct closures *);
 
 #endif /* CLOSURES_H */
--- a/entry/closed.c
+++ b/entry/closed.c
@@ -96,8 +96,7 @@
 {
 	replace(node, &node->closures_read, node->config_read_revision, "read",
 	    now_ms);
-	confirmation_note(
-	    &node->closures.confirmed, CONFIRMED_BY_STORE, begun_ms);
+	closures_confirm(&node->closures, CONFIRMED_BY_STORE, begun_ms);
 }
 
 void
@@ -108,7 +107,7 @@
 	size_t i;
 
 	closures = &node->closures;
-	if (!closures->complete)
+	if (!closures_are_all(closures))
 		return;
 	names = json_array();
 	for (i = 0; i < closures->set.n; i++)
@@ -163,8 +162,8 @@
 	replace(node, &set, revision, "peer", now_ms);
 	/* What we know is as new as the peer's, or newer. */
 	if (sent_ms >= 0 && age_ms >= 0)
-		confirmation_note(&node->closures.confirmed, CONFIRMED_BY_PEER,
-		    sent_ms - age_ms);
+		closures_confirm(
+		    &node->closures, CONFIRMED_BY_PEER, sent_ms - age_ms);
 }
 
 bool
--- a/tests/test_closures.cc
+++ b/tests/test_closures.cc
@@ -118,6 +118,37 @@
 	EXPECT_TRUE(closure_set_has(&set, "any"));
 }
 
+// Guards against others that open what didn't fit the table.
+TEST_F(Closures, NamesThatAreNotAllAreNotPassedOn)
+{
+	struct closure_set set;
+
+	EXPECT_FALSE(closures_are_all(&c));
+	Read({ "a" }, 5);
+	EXPECT_TRUE(closures_are_all(&c));
+	Event("b", true, 6);
+	EXPECT_FALSE(closures_are_all(&c));
+	closure_set_clear(&set);
+	for (int i = 0; i <= CLOSURES_MAX; i++)
+		closure_set_add(&set, std::to_string(i).c_str());
+	closures_replace(&c, &set, 7, now);
+	EXPECT_FALSE(closures_are_all(&c));
+}
+
+// Guards against an age that an overtaken read makes young.
+TEST_F(Closures, AReadThatIsOvertakenConfirmsNothing)
+{
+	Read({ "a" }, 5);
+	closures_confirm(&c, CONFIRMED_BY_STORE, 500);
+	Event("b", true, 9);
+	Read({ "a" }, 8);
+	closures_confirm(&c, CONFIRMED_BY_STORE, 900);
+	EXPECT_EQ(confirmation_age_ms(&c.confirmed, 1000), 500);
+	Read({ "a", "b" }, 9);
+	closures_confirm(&c, CONFIRMED_BY_STORE, 950);
+	EXPECT_EQ(confirmation_age_ms(&c.confirmed, 1000), 50);
+}
+
 TEST_F(Closures, AConfirmationIsNeverTakenBack)
 {
 	EXPECT_EQ(confirmation_age_ms(&c.confirmed, 1000), -1);
