--- a/core/confirmation.h
+++ b/core/confirmation.h
@@ -13,6 +13,9 @@
  * All times are in milliseconds of one steady clock.
  */
 
+/* What orders rest on has to be younger by their way to the worker. */
+#define CONFIRMATION_ORDER_MS INT64_C(200)
+
 enum confirmation_source {
 	CONFIRMED_BY_NOBODY,
 	CONFIRMED_BY_STORE,
--- a/core/confsync.c
+++ b/core/confsync.c
@@ -160,6 +160,12 @@
 	sync->asks++;
 }
 
+int64_t
+confsync_learn_max_ms(int64_t hello_ms, int64_t call_ms)
+{
+	return CONFSYNC_CONFIRM_MAX_MS + 2 * call_ms + 2 * hello_ms;
+}
+
 int64_t
 confsync_spread_max_ms(int64_t hello_ms, int64_t heartbeat_ms)
 {
--- a/core/confsync.h
+++ b/core/confsync.h
@@ -94,5 +94,11 @@
  * step is lost.
  */
 int64_t confsync_spread_max_ms(int64_t hello_ms, int64_t heartbeat_ms);
+/*
+ * The longest time until the leader knows of a change that the store told to no
+ * watch, if the store rejects the leader: a member's own confirmation gets old,
+ * one of its reads fails, the next one tells, and one hello message is lost.
+ */
+int64_t confsync_learn_max_ms(int64_t hello_ms, int64_t call_ms);
 
 #endif /* CONFSYNC_H */
--- a/core/listsync.c
+++ b/core/listsync.c
@@ -2,8 +2,6 @@
 
 #include "listsync.h"
 
-/* An order reaches its worker within this time. */
-#define ORDER_MS INT64_C(200)
 /* Answers of a slow store. */
 #define ANSWER_MAX_MS INT64_C(300)
 /* Workers may rewrite their entries later than agreed by this part. */
@@ -30,7 +28,7 @@
 {
 	int64_t max_ms, needed_ms;
 
-	max_ms = options->apply_ms - ORDER_MS;
+	max_ms = options->apply_ms - CONFIRMATION_ORDER_MS;
 	needed_ms = with_reserve(options->report_ms) + LISTSYNC_WATCH_MS +
 	    LISTSYNC_OVERDUE_MS + LISTSYNC_RETRY_MS + ANSWER_MAX_MS;
 	return max_ms > needed_ms ? max_ms : needed_ms;
@@ -43,7 +41,7 @@
 
 	memset(sync, 0, sizeof(*sync));
 	sync->report_ms = with_reserve(options->report_ms);
-	sync->fresh_ms = options->apply_ms - ORDER_MS;
+	sync->fresh_ms = options->apply_ms - CONFIRMATION_ORDER_MS;
 	/* By a shorter time tasks would wait while nothing is wrong. */
 	age_max_ms = listsync_age_max_ms(options->report_ms, ANSWER_MAX_MS);
 	if (sync->fresh_ms < age_max_ms)
--- a/entry/closed.c
+++ b/entry/closed.c
@@ -11,9 +11,6 @@
  * which needs them, may be the entry that the store rejects.
  */
 
-/* An order reaches its worker within this time. */
-#define ORDER_MS 200
-
 static void
 log_difference(const struct closure_set *from, const struct closure_set *to,
     const char *event, int64_t revision, const char *source)
@@ -166,11 +163,17 @@
 		    &node->closures, CONFIRMED_BY_PEER, sent_ms - age_ms);
 }
 
+int64_t
+closed_limit_ms(const struct node *node)
+{
+	return node->opt.closure_apply_ms + node->opt.closure_stretch_ms -
+	    CONFIRMATION_ORDER_MS;
+}
+
 bool
 closed_is_unknown(const struct node *node, int64_t now_ms)
 {
-	if (node->opt.closure_apply_ms == 0)
-		return false;
-	return !confirmation_is_fresh(&node->closures.confirmed,
-	    node->opt.closure_apply_ms - ORDER_MS, now_ms);
+	return node->opt.closure_apply_ms > 0 &&
+	    !confirmation_is_fresh(
+		&node->closures.confirmed, closed_limit_ms(node), now_ms);
 }
--- a/entry/config.c
+++ b/entry/config.c
@@ -138,7 +138,7 @@
 	size_t i;
 
 	node = ctx;
-	if (result->error != KV_OK) {
+	if (result->error != KV_OK || node->closing) {
 		node->config_reading = false;
 		confsync_read_failed(&node->confsync);
 		return;
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -398,7 +398,7 @@
 	case WAIT_CLOSURES:
 		return "closures_unknown";
 	case WAIT_ROOMS:
-		return "list_old";
+		return "room_unknown";
 	case WAIT_TURN:
 		return "next_pass";
 	}
--- a/entry/lead_closed.c
+++ b/entry/lead_closed.c
@@ -26,7 +26,7 @@
 	    "age_ms=%lld confirmed_by=%s limit_ms=%lld",
 	    (long long)confirmation_age_ms(confirmed, now_ms),
 	    confirmation_source_name(confirmed->by),
-	    (long long)l->node->opt.closure_apply_ms);
+	    (long long)closed_limit_ms(l->node));
 	l->sched->place_wanted = true;
 	lead_wakeup(l);
 }
--- a/entry/node.h
+++ b/entry/node.h
@@ -29,6 +29,7 @@
 	int64_t list_apply_ms; /* the same of a change of a worker's entry */
 	/* The same of operators' closing a data centre; 0: no bound. */
 	int64_t closure_apply_ms;
+	int64_t closure_stretch_ms; /* more while the store rejects entries */
 	int64_t worker_report_ms; /* workers rewrite their entries so often */
 	struct kv_ops kv;
 	struct worker_ops workers;
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -226,6 +226,8 @@
 /* Takes what a peer knows; sent_ms: not sent before, or -1 if not known. */
 void closed_handle_peer(
     struct node *, const json_t *message, int64_t sent_ms, int64_t now_ms);
+/* Tasks are started by what is known up to this age. */
+int64_t closed_limit_ms(const struct node *);
 /* What is known may be too old to start tasks by. */
 bool closed_is_unknown(const struct node *, int64_t now_ms);
 
--- a/tests/test_closed.cc
+++ b/tests/test_closed.cc
@@ -103,6 +103,21 @@
 	EXPECT_EQ(starts_closed, 0);
 }
 
+// Guards against a closing that is on a later page of a read.
+TEST_F(ClosedDataCenter, ReadsOfSeveralPagesTellAll)
+{
+	Begin();
+	page = 1;
+	CloseDataCenter("a-third");
+	CloseDataCenter("there");
+	Pass(2000);
+	EXPECT_EQ(DoneOn("there", 1500), 0u);
+	EXPECT_GE(DoneOn("here", 1500), 8u);
+	OpenDataCenter("there");
+	Pass(2000);
+	EXPECT_GE(DoneOn("there", 1500), 8u);
+}
+
 // Guards against entries that start anew by what they knew before.
 TEST_F(ClosedDataCenter, AllEntriesRestart)
 {
--- a/tests/test_confsync.cc
+++ b/tests/test_confsync.cc
@@ -195,3 +195,11 @@
 {
 	EXPECT_LT(confsync_spread_max_ms(HELLO_MS, HEARTBEAT_MS), kApplyMs);
 }
+
+// Guards against steps that add up to more than the users' bound on a closing.
+TEST(ConfsyncLearn, TheLeaderLearnsOfAClosingInTime)
+{
+	constexpr int64_t kHelloMs = 500, kCallMs = 1000, kOrderMs = 200;
+
+	EXPECT_LE(confsync_learn_max_ms(kHelloMs, kCallMs) + kOrderMs, 5000);
+}
--- a/tests/test_listsync.cc
+++ b/tests/test_listsync.cc
@@ -317,3 +317,14 @@
 	Pass(5000, 300);
 	EXPECT_TRUE(listsync_is_fresh(&sync, now));
 }
+
+TEST(ListsyncEntry, TheUsersBoundCountsUnlessEntriesComeLater)
+{
+	struct listsync_options options = { kReportMs, kApplyMs };
+
+	EXPECT_EQ(listsync_entry_max_ms(&options), kApplyMs - 200);
+	options.apply_ms = 500;
+	EXPECT_EQ(listsync_entry_max_ms(&options),
+	    kReportMs + kReportMs / 5 + LISTSYNC_WATCH_MS +
+		LISTSYNC_OVERDUE_MS + LISTSYNC_RETRY_MS + 300);
+}
--- a/tests/test_sched_rooms.cc
+++ b/tests/test_sched_rooms.cc
@@ -58,3 +58,44 @@
 	Simulate(2000);
 	EXPECT_EQ(sim["w2"].running.size(), 2u);
 }
+
+// Guards against an entry that is taken for younger than it is.
+TEST_F(Rooms, AnEntryIsAsOldAsItsWorkersClockTells)
+{
+	struct sched_worker *w = AddWorker("w1", 8000);
+
+	EXPECT_EQ(sched_entry_age_ms(w, now), -1);
+	sched_worker_entry_written(w, 5000, now);
+	EXPECT_EQ(sched_entry_age_ms(w, now), -1);
+	sched_act(s, now);
+	// Its clock may be slow: what it calls 1000 ms may be 1030.
+	Answer(w, {}, {}, 0, 6000);
+	EXPECT_EQ(sched_entry_age_ms(w, now), 1030);
+	EXPECT_EQ(sched_entry_age_ms(w, now + 200), 1230);
+	// The entry was written after that answer.
+	sched_worker_entry_written(w, 6150, now + 200);
+	EXPECT_EQ(sched_entry_age_ms(w, now + 200), 50);
+	// A time that is yet to come: it is no younger than its first reading.
+	sched_worker_entry_written(w, 99000, now + 300);
+	EXPECT_EQ(sched_entry_age_ms(w, now + 700), 400);
+	sched_worker_entry_written(w, 99000, now + 700);
+	EXPECT_EQ(sched_entry_age_ms(w, now + 900), 600);
+}
+
+TEST_F(Rooms, NothingStartsByAnEntryThatIsTooOld)
+{
+	struct sched_worker *w = Join("w1", 8000);
+	struct sched_load load;
+
+	s->opt.entry_max_ms = 3800;
+	Simulate(200);
+	sched_worker_entry_written(w, now - 3900, now);
+	Add(Graph("a", 2, 2000));
+	Simulate(300);
+	EXPECT_TRUE(started.empty());
+	sched_measure(s, &load, now);
+	EXPECT_EQ(load.barred[BAR_ROOM_UNKNOWN], 1u);
+	sched_worker_entry_written(w, now - 100, now);
+	Simulate(300);
+	EXPECT_EQ(started.size(), 2u);
+}
