Keep a confirmation that comes before its configuration version

A heartbeat that tells of a new version also confirms it, but the version takes effect only after it was read, so the confirmation was dropped. The next one comes 0.5 s later; with versions in series several in a row were lost, and an entry that the store rejects held its configuration for too old and answered 503. The confirmation is now kept until its version takes effect.

Both new tests of ConfSync fail without the change.

--- a/core/confsync.c
+++ b/core/confsync.c
@@ -26,6 +26,9 @@
 {
 	sync->version = version;
 	sync->asks = 0;
+	if (version == sync->early_version)
+		confirmation_note(
+		    &sync->confirmed, CONFIRMED_BY_PEER, sync->early_ms);
 	update_behind(sync, sync->reported_ms);
 }
 
@@ -82,11 +85,23 @@
 	return true;
 }
 
+static void
+note_early(struct confsync *sync, int64_t version, int64_t at_ms)
+{
+	if (version < sync->early_version ||
+	    (version == sync->early_version && at_ms <= sync->early_ms))
+		return;
+	sync->early_version = version;
+	sync->early_ms = at_ms;
+}
+
 void
 confsync_peer_confirmed(struct confsync *sync, int64_t version, int64_t at_ms)
 {
 	if (version == sync->version)
 		confirmation_note(&sync->confirmed, CONFIRMED_BY_PEER, at_ms);
+	else if (version > sync->version)
+		note_early(sync, version, at_ms);
 }
 
 bool
--- a/core/confsync.h
+++ b/core/confsync.h
@@ -33,6 +33,8 @@
 struct confsync {
 	int64_t version; /* in force; 0: none yet */
 	struct confirmation confirmed; /* the version in force is the newest */
+	int64_t early_version; /* confirmed by a peer, not in force yet */
+	int64_t early_ms; /* when it was known to be the newest */
 	int64_t peer_version; /* the highest that a peer has reported */
 	int64_t reported_ms; /* when it did */
 	int64_t invalid_version; /* reported, but not usable here; 0: none */
@@ -67,7 +69,11 @@
  * higher than any before.
  */
 bool confsync_peer_reported(struct confsync *, int64_t version, int64_t now_ms);
-/* At that time a peer knew that version to be the newest. */
+/*
+ * At that time a peer knew that version to be the newest.  A version that isn't
+ * in force yet is confirmed once it takes effect: the message that tells of a
+ * new version confirms it too, and the next one comes only after the interval.
+ */
 void confsync_peer_confirmed(struct confsync *, int64_t version, int64_t at_ms);
 
 /* A peer has a newer version that may be usable. */
--- a/tests/test_confsync.cc
+++ b/tests/test_confsync.cc
@@ -72,6 +72,35 @@
 	EXPECT_EQ(sync.confirmed.by, CONFIRMED_BY_PEER);
 }
 
+// Guards against a series of versions, each confirmed before it was in force,
+// making an entry that the store rejects refuse its callers.
+TEST_F(ConfSync, AConfirmationThatPrecedesItsVersionCounts)
+{
+	confsync_applied(&sync, 3);
+	Read(kNow);
+	confsync_peer_confirmed(&sync, 4, kNow + 400);
+	confsync_peer_confirmed(&sync, 4, kNow + 300);
+	confsync_peer_confirmed(&sync, 3, kNow + 200);
+	EXPECT_EQ(confsync_age_ms(&sync, kNow + 500), 300);
+	confsync_applied(&sync, 4);
+	EXPECT_EQ(confsync_age_ms(&sync, kNow + 500), 100);
+	EXPECT_EQ(sync.confirmed.by, CONFIRMED_BY_PEER);
+}
+
+// Guards against a confirmation of a later version making an older one, which
+// took effect in between, look new.
+TEST_F(ConfSync, AnEarlyConfirmationCountsForItsVersionOnly)
+{
+	confsync_applied(&sync, 3);
+	Read(kNow);
+	confsync_peer_confirmed(&sync, 5, kNow + 400);
+	confsync_peer_confirmed(&sync, 4, kNow + 450);
+	confsync_applied(&sync, 4);
+	EXPECT_EQ(confsync_age_ms(&sync, kNow + 500), 500);
+	confsync_applied(&sync, 5);
+	EXPECT_EQ(confsync_age_ms(&sync, kNow + 500), 100);
+}
+
 // Guards against a version that can't be used making the older one look new.
 TEST_F(ConfSync, AReadOfAnUnusableVersionConfirmsNothing)
 {
