Forecast the load of serving tasks for placing and pacing fillers

Cause: fillers were placed and paced by the load of a quarter to half a second ago, while the load of serving tasks swings by half of its mean in seconds. A filler that was placed at a trough was throttled or moved at the next crest.

Each serving step has a forecast (last value, trend, or a fitted cycle, by their measured errors). Paces fall for the load 200 ms ahead, rise by the highest within 500 ms, and fillers are placed by the highest within 2 s and where it is low relative to its limit. The reserve is -0.05 in place of -0.02. The cycle's period goes to the next leader with the learned effects.

mk/check.sh runs the module programs four at a time, tests of processes one after the other as before. The ports of test_handover no longer overlap with those of tests/process, so that whole checks can run beside each other.

--- a/core/sched.c
+++ b/core/sched.c
@@ -187,4 +187,5 @@
 	}
 	TAILQ_FOREACH (job, &s->open, link)
 		job_each_step(job, add_step_load, load);
+	forecast_measure(s, load);
 }
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -231,12 +231,12 @@
 double share_cpu_fraction(const struct sched *, const struct sched_worker *,
     const struct graph_step *);
 /*
- * Highest load of the serving tasks there relative to the load at which they
- * miss their targets, with one more filler that uses this share of the
- * worker.  Over 1 a serving task is late.
+ * Highest load of the serving tasks there within the horizon, relative to the
+ * load at which they miss their targets, with one more filler that uses this
+ * share of the worker.  Over 1 a serving task is late.
  */
 double share_load_ratio(const struct sched *, const struct sched_worker *,
-    int filler_image, double share);
+    enum load_horizon, int filler_image, double share);
 /* Load that such a filler adds to all serving tasks there. */
 double share_added_load(const struct sched *, const struct sched_worker *,
     int filler_image, double share);
@@ -245,6 +245,16 @@
 void share_count_serving(
     struct sched_worker *, int image, int64_t target_ms, int change);
 
+/* sched_forecast.c */
+/* Takes the present estimate of the load of the step's serving tasks. */
+void forecast_step_update(struct sched *, struct sched_step *, int64_t now_ms);
+/* The highest load expected within the horizon. */
+double forecast_step_load(
+    struct sched_step *, enum load_horizon, int64_t now_ms);
+void forecast_step_free(struct sched_step *);
+/* Sets the errors in the summary of the fleet. */
+void forecast_measure(struct sched *, struct sched_load *);
+
 /* sched_use.c */
 void use_init(struct sched *);
 /* Learns the use of processors from the worker's latest list of runs. */
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -694,6 +694,7 @@
 				free(step->tasks[i].losses);
 			}
 			free(step->tasks);
+			forecast_step_free(step);
 		}
 		free(occurrence->steps);
 		free(occurrence);
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -15,6 +15,11 @@
 #define OTHER_IMAGE_PENALTY 8
 /* Cost of doubling the load of one serving task, in thousandths. */
 #define INTERFERENCE_COST 20000
+/*
+ * Cost of the serving tasks' predicted load relative to its limit, in
+ * thousandths, so that fillers go where the load is low or falls.
+ */
+#define LOAD_RATIO_COST 15000
 /* Cost of each run that a crash of the worker would end, in thousandths. */
 #define LOST_RUN_COST 20000
 /* A filler waits this long for a worker where no serving task gets late. */
@@ -186,6 +191,21 @@
 	return score * MILLIS_PER_PROCESSOR;
 }
 
+/* Cost of a filler beside the serving tasks there, in thousandths. */
+static double
+interference_cost(struct placing *p, const struct sched_worker *worker,
+    const struct sched_task *task)
+{
+	double added, ratio, share;
+	int image;
+
+	image = task->step->image;
+	share = share_cpu_fraction(p->s, worker, task->step->spec);
+	added = share_added_load(p->s, worker, image, share);
+	ratio = share_load_ratio(p->s, worker, LOAD_PLACE, image, share);
+	return INTERFERENCE_COST * added + LOAD_RATIO_COST * ratio;
+}
+
 /*
  * Score of the worker for the task: processors left after placing it, in
  * thousandths, less the cost of a slow worker, a distant rack or interference.
@@ -204,9 +224,7 @@
 		score = (double)(use_idle_cpu(p->s, worker) -
 		    spec->size.cpu_millis);
 	if (spec->filler && worker->serving > 0)
-		score -= INTERFERENCE_COST *
-		    share_added_load(p->s, worker, task->step->image,
-			share_cpu_fraction(p->s, worker, spec));
+		score -= interference_cost(p, worker, task);
 	if (worker->inc.speed > 1.3)
 		score -= 8000 * (worker->inc.speed - 1);
 	if (spec->rack[0] != '\0' &&
@@ -239,7 +257,7 @@
 	if (worker->serving == 0 ||
 	    p->now_ms - task->since_ms > INTERFERENCE_WAIT_MS)
 		return true;
-	return share_load_ratio(p->s, worker, task->step->image,
+	return share_load_ratio(p->s, worker, LOAD_PLACE, task->step->image,
 		   share_cpu_fraction(p->s, worker, spec)) <= 1;
 }
 
--- a/core/sched_share.c
+++ b/core/sched_share.c
@@ -36,7 +36,7 @@
  * admits more batch work and accepts that some long-running tasks are late for
  * a moment.
  */
-#define RESERVE (-0.02)
+#define RESERVE (-0.05)
 /* Added to the reserve for each second of lateness. */
 #define RESERVE_PER_LATE_S 0.03
 /* Additional reserve that is required to raise a pace. */
@@ -123,7 +123,7 @@
 		served = &worker->served[worker->nserved++];
 		served->image = image;
 		served->n = 0;
-		served->load = 0;
+		memset(served->load, 0, sizeof(served->load));
 		served->filler_load = 0;
 		served->target_ms = target_ms;
 	}
@@ -225,18 +225,24 @@
 }
 
 static void
-update_served_load(struct sched_worker *worker, const struct sched_run *run)
+update_served_load(
+    struct sched_worker *worker, const struct sched_run *run, int64_t now_ms)
 {
 	struct sched_served *served;
 	double load;
 	size_t i;
+	int k;
 
-	load = load_estimate_value(&run->task->step->load);
 	for (i = 0; i < worker->nserved; i++) {
 		served = &worker->served[i];
-		if (served->image == run->task->step->image &&
-		    load > served->load)
-			served->load = load;
+		if (served->image != run->task->step->image)
+			continue;
+		for (k = 0; k < LOAD_HORIZONS; k++) {
+			load = forecast_step_load(
+			    run->task->step, (enum load_horizon)k, now_ms);
+			if (load > served->load[k])
+				served->load[k] = load;
+		}
 	}
 }
 
@@ -249,7 +255,8 @@
 
 	n = recent_usages(worker, usages);
 	for (i = 0; i < worker->nserved; i++)
-		worker->served[i].load = 0;
+		memset(
+		    worker->served[i].load, 0, sizeof(worker->served[i].load));
 	TAILQ_FOREACH (run, &worker->runs, by_worker) {
 		if (!is_serving(run))
 			continue;
@@ -261,8 +268,9 @@
 			    usages, n, run->measurement,
 			    (double)run->task->step->spec->tail_target_ms,
 			    now_ms);
+			forecast_step_update(s, run->task->step, now_ms);
 		}
-		update_served_load(worker, run);
+		update_served_load(worker, run, now_ms);
 	}
 }
 
@@ -277,7 +285,7 @@
 
 double
 share_load_ratio(const struct sched *s, const struct sched_worker *worker,
-    int image, double share)
+    enum load_horizon horizon, int image, double share)
 {
 	const struct load_estimate never_listed = { 0 };
 	const struct sched_served *served;
@@ -288,7 +296,8 @@
 	unknown = load_estimate_value(&never_listed);
 	for (i = 0; i < worker->nserved; i++) {
 		served = &worker->served[i];
-		load = served->load > 0 ? served->load : unknown;
+		load =
+		    served->load[horizon] > 0 ? served->load[horizon] : unknown;
 		ratio = (load + RESERVE) *
 		    (1 + served->filler_load +
 			share *
@@ -398,15 +407,15 @@
 /* Lower the paces of the largest contributors until the load fits. */
 static void
 fit_paces_to(const struct sched *s, const struct sched_served *served,
-    struct paces *paces, double reserve)
+    enum load_horizon horizon, struct paces *paces, double reserve)
 {
 	double allowed, by_most, filler_load;
 	size_t most;
 	int lower;
 
-	if (served->load <= 0)
+	if (served->load[horizon] <= 0)
 		return;
-	allowed = limit_of(s, served) / (served->load + reserve) - 1;
+	allowed = limit_of(s, served) / (served->load[horizon] + reserve) - 1;
 	for (;;) {
 		filler_load =
 		    filler_load_of_all(s, served, paces, &most, &by_most);
@@ -423,13 +432,13 @@
 
 static void
 fit_paces(const struct sched *s, struct sched_worker *worker,
-    struct paces *paces, double reserve)
+    enum load_horizon horizon, struct paces *paces, double reserve)
 {
 	size_t i;
 
 	list_fillers(worker, paces);
 	for (i = 0; i < worker->nserved; i++)
-		fit_paces_to(s, &worker->served[i], paces, reserve);
+		fit_paces_to(s, &worker->served[i], horizon, paces, reserve);
 }
 
 /*
@@ -555,8 +564,8 @@
 	size_t i;
 
 	reserve = RESERVE + RESERVE_PER_LATE_S * (double)late_ms / 1000;
-	fit_paces(s, worker, &most, reserve);
-	fit_paces(s, worker, &raised, reserve + RAISE_RESERVE);
+	fit_paces(s, worker, LOAD_SOON, &most, reserve);
+	fit_paces(s, worker, LOAD_RAISE, &raised, reserve + RAISE_RESERVE);
 	for (i = 0; i < most.n; i++) {
 		run = most.runs[i];
 		if (run->pace > most.pace[i])
@@ -590,5 +599,6 @@
 	set_paces(s, worker, late_ms, now_ms);
 	throttle_late(s, worker, late_ms, now_ms);
 	share_update_usage(s, worker, now_ms);
-	worker->inc.load_ratio = share_load_ratio(s, worker, IMAGE_NONE, 0);
+	worker->inc.load_ratio =
+	    share_load_ratio(s, worker, LOAD_SOON, IMAGE_NONE, 0);
 }
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -10,6 +10,7 @@
 
 #include "blame.h"
 #include "closures.h"
+#include "forecast.h"
 #include "graph.h"
 #include "interference.h"
 #include "room.h"
@@ -157,11 +158,27 @@
 };
 TAILQ_HEAD(sched_tasks, sched_task);
 
+/* How far ahead the load of serving tasks matters; see sched_forecast.c. */
+enum load_horizon {
+	LOAD_SOON, /* when an order to a filler takes effect */
+	LOAD_RAISE, /* while a raised pace is to last */
+	LOAD_PLACE, /* while a filler that is placed now runs */
+	LOAD_HORIZONS
+};
+
+/* Forecast of the load of a step's serving tasks, and what it told last. */
+struct step_forecast {
+	struct forecast forecast;
+	int64_t told_ms; /* time of highest[]; 0: none */
+	double highest[LOAD_HORIZONS]; /* expected within the horizon */
+};
+
 struct sched_step {
 	struct sched_occurrence *occurrence;
 	const struct graph_step *spec;
 	int image; /* its number in struct interference */
 	struct load_estimate load; /* of its tasks, if they serve */
+	struct step_forecast *forecast; /* of that load; NULL: none yet */
 	uint32_t number;
 	uint32_t ndone;
 	uint32_t nactive;
@@ -250,7 +267,8 @@
 	int image;
 	int n; /* tasks */
 	int64_t target_ms; /* the lowest of their targets */
-	double load; /* the highest of their steps, without fillers */
+	/* The highest of their steps, without fillers; 0: not known. */
+	double load[LOAD_HORIZONS];
 	double filler_load; /* relative rise of load caused by fillers */
 };
 
@@ -540,6 +558,9 @@
 	uint32_t serving;
 	uint32_t late; /* serving tasks over their target */
 	uint32_t paced; /* throttled fillers */
+	/* Of serving loads, root mean squares over the tasks; 0: not known. */
+	double forecast_error;
+	double last_error; /* if the last value were used */
 };
 
 struct sched {
@@ -580,6 +601,7 @@
 	int64_t next_ms; /* when sched_act() is due at the latest */
 	uint64_t random;
 	struct interference *interference;
+	struct forecast_rhythm rhythm; /* of the serving tasks' loads */
 	double serving_use; /* learnt share of reserved CPU in use, serving */
 	double batch_use; /* the same for all other tasks */
 	struct blame_rate crash_rate; /* of workers */
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,6 +16,8 @@
  */
 #define LEARNT_INTERVAL_MS 2000
 #define LEARNT_LINK_FULL_MS 8000
+/* First field of the row with the period of serving loads, in ms. */
+#define LEARNT_PERIOD "cycle"
 
 /*
  * Maximum lease of running tasks.  It outlasts a takeover, which takes a
@@ -87,17 +90,22 @@
 json_t *
 lead_learnt(struct lead *l)
 {
+	double period_ms;
 	json_t *pairs;
 
 	pairs = json_array();
 	interference_foreach(l->sched->interference, add_pair, pairs);
+	period_ms = forecast_period_ms(&l->sched->rhythm);
+	if (period_ms > 0)
+		json_array_append_new(
+		    pairs, json_pack("[sf]", LEARNT_PERIOD, round(period_ms)));
 	return pairs;
 }
 
 /*
- * Applies the effects that the former leader learned.  Without them fillers are
- * placed regardless of interference for some seconds after a takeover, and
- * serving tasks miss their targets.
+ * Applies the effects and the period that the former leader learned.  Without
+ * them fillers are placed regardless of interference for some seconds after a
+ * takeover, and serving tasks miss their targets.
  */
 static void
 apply_learnt(struct lead *l, const json_t *pairs)
@@ -110,6 +118,10 @@
 	{
 		serving = json_string_value(json_array_get(row, 0));
 		filler = json_string_value(json_array_get(row, 1));
+		if (serving != NULL && strcmp(serving, LEARNT_PERIOD) == 0 &&
+		    json_is_number(json_array_get(row, 1)))
+			forecast_set_period(&l->sched->rhythm,
+			    json_number_value(json_array_get(row, 1)));
 		if (serving != NULL && filler != NULL)
 			interference_set_effect(l->sched->interference, serving,
 			    filler, json_number_value(json_array_get(row, 2)));
@@ -365,7 +377,8 @@
 	    "fillers=%lld "
 	    "running=%u waiting=%u waiting_fillers=%u serving=%u late=%u "
 	    "paced=%u serving_use=%.2f starts=%llu looks=%llu stills=%llu "
-	    "moves=%llu restarts=%llu list_age_ms=%lld",
+	    "moves=%llu restarts=%llu list_age_ms=%lld cycle_ms=%.0f "
+	    "forecast_error=%.3f last_error=%.3f",
 	    load.workers, load.usable, load.barred[BAR_CLOSED],
 	    load.barred[BAR_ROOM_UNKNOWN], load.unsettled, (long long)load.cpu,
 	    (long long)load.claimed, (long long)load.fillers, load.running,
@@ -376,7 +389,9 @@
 	    (unsigned long long)l->sched->counts.stalled,
 	    (unsigned long long)l->sched->counts.moves,
 	    (unsigned long long)l->sched->counts.restarts,
-	    (long long)listsync_age_ms(&l->listsync, now_ms));
+	    (long long)listsync_age_ms(&l->listsync, now_ms),
+	    forecast_period_ms(&l->sched->rhythm), load.forecast_error,
+	    load.last_error);
 }
 
 static const char *
--- a/mk/check.sh
+++ b/mk/check.sh
@@ -1,8 +1,13 @@
 #!/bin/sh
 # Run every test program once.  A test named in KNOWN-RED.txt may fail, is
 # printed, and does not fail the run; any other failure does.
+#
+# The programs of the modules run JOBS at a time: they pause and advance the
+# clock or have generous time limits.  Tests of whole processes run one after
+# the other, as they measure times.
 set -u
 tree=${1:-build}
+JOBS=${JOBS:-4}
 passed=0
 failed=0
 red=0
@@ -13,30 +18,35 @@
     platform_crashing_task platform_refused_save platform_rejected_entries platform_restarted_worker platform_soak platform_stop_open
     platform_closed_data_center platform_unguarded_rooms stand_stop start_without_store store_outage two_operators worker_faults"
 
-run()
+report()	# NAME STATUS
 {
-	case $1 in
-	*.sh) TREE=$tree sh "$1" ;;
-	*) "$1" ;;
-	esac
-}
-
-for t in "$tree"/tests/test_* $(printf 'tests/process/%s.sh ' $processes); do
-	name=$(basename "$t" .sh)
-	case $t in
-	*.sh) name=process_$name ;;
-	esac
-	if run "$t" >"$logs/$name.log" 2>&1; then
+	if [ "$2" = 0 ]; then
 		passed=$((passed + 1))
-		echo "ok      $name"
-	elif [ -f KNOWN-RED.txt ] && grep -q "^$name[: ]" KNOWN-RED.txt; then
+		echo "ok      $1"
+	elif [ -f KNOWN-RED.txt ] && grep -q "^$1[: ]" KNOWN-RED.txt; then
 		red=$((red + 1))
-		echo "KNOWN   $(grep "^$name[: ]" KNOWN-RED.txt)"
+		echo "KNOWN   $(grep "^$1[: ]" KNOWN-RED.txt)"
 	else
 		failed=$((failed + 1))
-		echo "FAILED  $name"
-		tail -n 60 "$logs/$name.log"
+		echo "FAILED  $1 (status $2)"
+		tail -n 60 "$logs/$1.log"
 	fi
+}
+
+rm -f "$logs"/test_*.status
+# shellcheck disable=SC2016 # expanded by the shells that xargs starts
+printf '%s\n' "$tree"/tests/test_* |
+    xargs -P "$JOBS" -n 1 sh -c '
+	name=$(basename "$2")
+	"$2" >"$1/$name.log" 2>&1
+	echo $? >"$1/$name.status"' sh "$logs"
+for t in "$tree"/tests/test_*; do
+	name=$(basename "$t")
+	report "$name" "$(cat "$logs/$name.status" 2>/dev/null || echo none)"
+done
+for p in $processes; do
+	TREE=$tree sh "tests/process/$p.sh" >"$logs/process_$p.log" 2>&1
+	report "process_$p" $?
 done
 [ "$red" -eq 0 ] || echo "known red: $red"
 echo "$passed passed, $failed failed"
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -160,14 +160,16 @@
 		options.workers = { this, Start, Stop, Pace, Poll };
 		options.platform = { &client, "c/", "w/", Config, Closure,
 			WorkerEntry, WorkerId };
-		// Use ports below the range that the system gives to clients;
-		// other programs on the machine may occupy some of them.
+		// Use ports below the range that the system gives to clients
+		// and those of tests/process, which run beside this program
+		// in other checkouts; other programs on the machine may occupy
+		// some of them.
 		for (int i = 0; i < 20 && opened == nullptr; i++) {
 			if (same_port)
 				uv_run(&loop, UV_RUN_NOWAIT);
 			else
 				client_ports[id] =
-				    20000 + (getpid() + ports++) % 10000;
+				    20000 + (getpid() + ports++) % 6000;
 			options.port = client_ports[id];
 			opened = node_open(&options, &error);
 		}
