Tell callers of a silent store early, and keep their deadlines

Cause: a call to a silent store fails only after a second, and the deadline of a job was not looked at while its write was under way: with one write after the other timing out, callers were answered up to a second after their deadline, or not at all.

An entry takes the store for silent if its oldest call waits for 400 ms and nothing was answered since, and refuses new jobs at once. A caller whose deadline comes during the write gets its answer then, and the write goes on.

--- a/entry/accept.c
+++ b/entry/accept.c
@@ -24,6 +24,8 @@
 #define DEADLINE_MARGIN_MS 150
 /* For this long after a failed request, a new write would fail too. */
 #define STORE_DOWN_MS 1500
+/* A store that has answered nothing for so long is silent; 300 ms is slow. */
+#define STORE_SILENT_MS 400
 /* Retry-after time for callers while the store is unavailable. */
 #define STORE_RETRY_AFTER_MS 1000
 /* The same if there is no room for long-running jobs until others end. */
@@ -46,24 +48,27 @@
 	bool relayed; /* from another entry: not forwarded again */
 	bool alone; /* written alone to find the job whose comparison failed */
 	const char *refusal; /* why it can't be served now; NULL: it can */
-	node_replied *replied;
+	node_replied *replied; /* NULL: the caller has its answer */
 	void *ctx;
 };
 TAILQ_HEAD(new_jobs, new_job);
 
+struct accept_write {
+	TAILQ_ENTRY(accept_write) link;
+	struct accept *accept;
+	struct new_jobs jobs;
+};
+TAILQ_HEAD(accept_writes, accept_write);
+
 struct accept {
 	struct node *node;
 	struct new_jobs waiting;
+	struct accept_writes in_flight;
 	uint32_t writes; /* in flight */
 	uint32_t reads; /* in flight */
 	bool closed;
 };
 
-struct accept_write {
-	struct accept *accept;
-	struct new_jobs jobs;
-};
-
 static void on_written(const struct kv_result *, void *);
 static void on_job_read(const struct kv_result *, void *);
 static void on_ended_read(const struct kv_result *, void *);
@@ -77,6 +82,7 @@
 		return NULL;
 	a->node = node;
 	TAILQ_INIT(&a->waiting);
+	TAILQ_INIT(&a->in_flight);
 	return a;
 }
 
@@ -87,18 +93,29 @@
 }
 
 static void
-finish(struct new_job *job, enum node_outcome outcome, const char *reason,
+reply_to(struct new_job *job, enum node_outcome outcome, const char *reason,
     int64_t retry_after_ms)
 {
 	struct node_reply reply;
+	node_replied *replied;
 
+	if ((replied = job->replied) == NULL)
+		return;
+	job->replied = NULL;
 	memset(&reply, 0, sizeof(reply));
 	reply.outcome = outcome;
 	reply.reason = reason;
 	reply.retry_after_ms = retry_after_ms;
 	if (outcome == NODE_NOT_DONE)
 		counter_inc_reason("lagoonpin_job_refused", reason);
-	job->replied(&reply, job->ctx);
+	replied(&reply, job->ctx);
+}
+
+static void
+finish(struct new_job *job, enum node_outcome outcome, const char *reason,
+    int64_t retry_after_ms)
+{
+	reply_to(job, outcome, reason, retry_after_ms);
 	free(job->text);
 	free(job);
 }
@@ -133,16 +150,24 @@
 	leader_requests_tick(a->node, now_ms);
 }
 
+/*
+ * A call to a silent store fails only after a second; until then each entry
+ * would accept jobs that it can't store.
+ */
 static bool
 store_is_down(const struct accept *a, int64_t now_ms)
 {
 	const struct kv_ops *kv;
-	int64_t failed_ms;
+	int64_t answered_ms, failed_ms, waiting_ms;
 
 	kv = &a->node->opt.kv;
+	answered_ms = kv->answered_ms(kv->self);
 	failed_ms = kv->failed_ms(kv->self);
-	return failed_ms > kv->answered_ms(kv->self) &&
-	    now_ms - failed_ms < STORE_DOWN_MS;
+	waiting_ms = kv->waiting_ms(kv->self);
+	if (failed_ms > answered_ms && now_ms - failed_ms < STORE_DOWN_MS)
+		return true;
+	return waiting_ms != 0 && waiting_ms > answered_ms &&
+	    now_ms - waiting_ms >= STORE_SILENT_MS;
 }
 
 /*
@@ -389,15 +414,35 @@
 	txn.puts = puts;
 	txn.nputs = n;
 	a->writes++;
+	TAILQ_INSERT_TAIL(&a->in_flight, write, link);
 	a->node->opt.kv.txn(a->node->opt.kv.self, &txn, on_written, write);
 }
 
+/*
+ * Answers callers whose deadline comes while the write of their job is under
+ * way.  The write may yet take effect, so they aren't told that it failed.
+ */
+static void
+answer_in_flight(struct accept *a, int64_t now_ms)
+{
+	struct accept_write *write;
+	struct new_job *job;
+
+	TAILQ_FOREACH (write, &a->in_flight, link) {
+		TAILQ_FOREACH (job, &write->jobs, link) {
+			if (now_ms >= job->deadline_ms)
+				reply_to(job, NODE_NO_ANSWER, "store_slow", 0);
+		}
+	}
+}
+
 void
 accept_tick(struct accept *a, int64_t now_ms)
 {
 	struct accept_write *write;
 	struct new_job *job, *next;
 
+	answer_in_flight(a, now_ms);
 	for (job = TAILQ_FIRST(&a->waiting); job != NULL; job = next) {
 		next = TAILQ_NEXT(job, link);
 		if (now_ms < job->deadline_ms)
@@ -441,7 +486,8 @@
 	int64_t now_ms;
 
 	now_ms = clock_now_ms();
-	if (a->closed || now_ms + delay_ms >= job->deadline_ms) {
+	if (a->closed || job->replied == NULL ||
+	    now_ms + delay_ms >= job->deadline_ms) {
 		fail(job, "store_slow");
 		return;
 	}
@@ -470,7 +516,8 @@
 		retry(a, job, 0);
 		break;
 	case KV_UNAVAILABLE:
-		if (a->closed || !forward_to_leader(job))
+		if (a->closed || job->replied == NULL ||
+		    !forward_to_leader(job))
 			retry(a, job, RETRY_MS);
 		break;
 	case KV_COMPACTED:
@@ -490,6 +537,7 @@
 	write = ctx;
 	a = write->accept;
 	a->writes--;
+	TAILQ_REMOVE(&a->in_flight, write, link);
 	while ((job = TAILQ_FIRST(&write->jobs)) != NULL) {
 		TAILQ_REMOVE(&write->jobs, job, link);
 		handle_result(a, job, result);
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -156,7 +156,7 @@
 		client.world = this;
 		client.id = id;
 		options.kv = { &client, Get, Range, Watch, Txn, AnsweredMs,
-			FailedMs };
+			FailedMs, WaitingMs };
 		options.workers = { this, Start, Stop, Pace, Poll };
 		options.platform = { &client, "c/", "w/", Config, Closure,
 			WorkerEntry, WorkerId };
@@ -769,6 +769,12 @@
 					      Store(ctx)->failed_ms;
 	}
 
+	static int64_t
+	WaitingMs(void *)
+	{
+		return 0;
+	}
+
 	// The workers.
 
 	// Carries out an order and answers it; an order to an unreachable
--- a/tests/test_accept.cc
+++ b/tests/test_accept.cc
@@ -11,6 +11,7 @@
 extern "C" {
 #include "clock.h"
 #include "node.h"
+#include "node_int.h"
 }
 
 namespace {
@@ -44,7 +45,7 @@
 		options.harm_ms = 4000;
 		options.config_apply_ms = 2000;
 		options.kv = { this, Get, Range, Watch, Txn, AnsweredMs,
-			FailedMs };
+			FailedMs, WaitingMs };
 		options.platform = { this, "c/", "w/", Config, Closure,
 			WorkerEntry, WorkerId };
 		/* The port may be in use by another program. */
@@ -157,6 +158,11 @@
 	{
 		return Self(self)->failed_ms;
 	}
+	static int64_t
+	WaitingMs(void *self)
+	{
+		return Self(self)->waiting_ms;
+	}
 	static enum config_reading
 	Config(void *, const char *, const char *, size_t,
 	    const struct entry_config **)
@@ -190,7 +196,7 @@
 	std::deque<Call> reads, writes;
 	std::vector<struct node_reply> replies;
 	size_t compares = 0;
-	int64_t answered_ms = 1, failed_ms = 0;
+	int64_t answered_ms = 1, failed_ms = 0, waiting_ms = 0;
 };
 
 } // namespace
@@ -271,6 +277,69 @@
 	EXPECT_EQ(replies[0].outcome, NODE_NOT_DONE);
 }
 
+// Guards against each new job waiting for its own failure while the store is
+// silent.
+TEST_F(Accept, ASilentStoreIsToldBeforeAnyCallFails)
+{
+	waiting_ms = clock_now_ms() - 500;
+	answered_ms = waiting_ms - 10;
+	Submit("a", 3000);
+	EXPECT_TRUE(writes.empty());
+	ASSERT_EQ(replies.size(), 1u);
+	EXPECT_EQ(replies[0].outcome, NODE_NOT_DONE);
+	EXPECT_GT(replies[0].retry_after_ms, 0);
+}
+
+// Guards against refusals because the store lost a single answer.
+TEST_F(Accept, AStoreThatAnswersOtherCallsIsUsed)
+{
+	waiting_ms = clock_now_ms() - 500;
+	answered_ms = waiting_ms + 10;
+	Submit("a", 3000);
+	EXPECT_EQ(writes.size(), 1u);
+	EXPECT_TRUE(replies.empty());
+}
+
+// Guards against refusals because the store is slow.
+TEST_F(Accept, ASlowStoreIsUsed)
+{
+	waiting_ms = clock_now_ms() - 300;
+	answered_ms = waiting_ms - 10;
+	Submit("a", 3000);
+	EXPECT_EQ(writes.size(), 1u);
+}
+
+// Guards against an answer after the caller's deadline while the write of its
+// job hangs.
+TEST_F(Accept, TheDeadlineOfAJobInAHangingWriteIsKept)
+{
+	Submit("a", 1000);
+	ASSERT_EQ(writes.size(), 1u);
+	Advance(800);
+	EXPECT_TRUE(replies.empty());
+	Advance(100);
+	ASSERT_EQ(replies.size(), 1u);
+	EXPECT_EQ(replies[0].outcome, NODE_NO_ANSWER);
+	// The write ends later: the caller isn't answered again, and nothing is
+	// written once more.
+	AnswerWrite(KV_UNKNOWN);
+	Advance(100);
+	EXPECT_EQ(replies.size(), 1u);
+	EXPECT_TRUE(writes.empty());
+}
+
+// Guards against a stored job that the leader doesn't hear of, as its caller
+// had been answered before the write ended.
+TEST_F(Accept, AJobWhoseWriteEndsAfterItsDeadlineIsStored)
+{
+	Submit("a", 1000);
+	Advance(900);
+	ASSERT_EQ(replies.size(), 1u);
+	AnswerWrite(KV_OK);
+	EXPECT_EQ(replies.size(), 1u);
+	EXPECT_FALSE(TAILQ_EMPTY(&node->leader_requests));
+}
+
 TEST_F(Accept, StateWithoutAnybodyToAskIsNoAnswer)
 {
 	node_state(node, "a", clock_now_ms() + 500, Replied, this);
