Move short tasks off workers that leave before they end

Cause: only long-running tasks were moved off draining workers. A short task or a filler that didn't end before the departure was lost with its work, and started anew only once the lease had expired.

Runs with checkpoints are stopped 1.2 s before the departure and resume elsewhere; those without are stopped at once while little is done. Nothing is stopped without room elsewhere, and nothing that ends in time.

Three of the five new tests of Drain fail without the change, the others guard its limits.

--- a/core/sched.c
+++ b/core/sched.c
@@ -125,6 +125,7 @@
 	s->next_ms = now_ms + ACT_INTERVAL_MAX_MS;
 	open_due_repeats(s, now_ms);
 	drain_move_tasks(s, now_ms);
+	leave_move_tasks(s, now_ms);
 	crash_update_rate(s, now_ms);
 	worker_run_due(s, now_ms);
 	if (s->deposed)
--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -438,6 +438,10 @@
 		if (run->begun_ms == 0)
 			run->begun_ms = now_ms;
 	}
+	if (run->listed_ms == 0) {
+		run->first_percent = row->percent;
+		run->first_percent_ms = now_ms;
+	}
 	run->listed_ms = now_ms;
 	run->incarnation = worker->inc.serial;
 	run->over_ms = 0;
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -216,6 +216,10 @@
 /* Stops long-running tasks on draining workers to restart them elsewhere. */
 void drain_move_tasks(struct sched *, int64_t now_ms);
 
+/* sched_leave.c */
+/* Stops short tasks on draining workers that would be lost with them. */
+void leave_move_tasks(struct sched *, int64_t now_ms);
+
 /* sched_rank.c */
 /* Jobs of higher rank are placed first. */
 double rank_job(const struct sched_job *, int64_t now_ms);
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -78,6 +78,7 @@
 	STOP_UNNEEDED, /* found at its worker, and its task is done or over */
 	STOP_STALLED, /* it makes no progress */
 	STOP_DRAINING, /* moved off a draining worker */
+	STOP_LEAVING, /* the same, of a task that ends by itself */
 	STOP_THROTTLED, /* moved, as it could not run beside serving tasks */
 	STOP_GANG, /* another task of its gang isn't running */
 	STOP_DONE, /* another run has completed the task */
@@ -111,6 +112,8 @@
 	int64_t deadline_worker_ms; /* the worker refuses the start after it */
 	int percent; /* progress, as last listed */
 	int64_t percent_ms; /* when percent last rose */
+	int first_percent; /* as first listed: it may have resumed */
+	int64_t first_percent_ms; /* when that was */
 	int measurement; /* tail in ms of a serving task, else cpu in use */
 	int pace; /* speed limit in percent, 0 to 100, or PACE_UNKNOWN */
 	bool pace_pending; /* a pace order is unanswered */
@@ -523,6 +526,7 @@
 	uint64_t stops;
 	uint64_t paces;
 	uint64_t moves; /* of long-running tasks off draining workers */
+	uint64_t leaving_moves; /* of other tasks off draining workers */
 	uint64_t stalled; /* runs found without progress */
 	uint64_t given_up; /* jobs failed because they crash workers */
 };
@@ -590,6 +594,7 @@
 	int64_t place_ms; /* next placement pass, unless wanted earlier */
 	int64_t place_min_ms; /* no placement pass before this */
 	int64_t drain_pass_ms; /* next pass over draining workers */
+	int64_t leave_pass_ms; /* the same for short tasks there */
 	bool deposed;
 	/* Workers that earlier leaders used and that haven't answered: */
 	uint64_t unsettled; /* sum of their hashes; 0: none */
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -207,6 +207,8 @@
 		return "stalled";
 	case STOP_DRAINING:
 		return "draining";
+	case STOP_LEAVING:
+		return "leaving";
 	case STOP_THROTTLED:
 		return "throttled";
 	case STOP_GANG:
--- a/tests/test_sched_drain.cc
+++ b/tests/test_sched_drain.cc
@@ -15,6 +15,29 @@
 				n++;
 		return n;
 	}
+
+	// A task of 20 s runs on w1, which is then listed as leaving in 10 s;
+	// w2 has this much room.
+	void
+	LongTaskOnALeavingWorker(bool checkpoints, int64_t elsewhere)
+	{
+		struct graph *g = Graph("a", 1, 1000);
+
+		g->steps[0].checkpoints = checkpoints;
+		g->steps[0].estimate_ms = 20000;
+		run_ms["a"] = 20000;
+		Join("w1", 4000);
+		Simulate(300);
+		Add(g);
+		Simulate(500);
+		ASSERT_EQ(StartsOn("w1"), 1u);
+		if (elsewhere > 0)
+			Join("w2", elsewhere);
+		ListAsDraining("w1", 4000);
+		left_ms = now + 10000;
+	}
+
+	int64_t left_ms = 0; // when w1 leaves
 };
 
 } // namespace
@@ -111,3 +134,59 @@
 	Simulate(500);
 	EXPECT_EQ(StartsOn("w1"), 1u);
 }
+
+// Guards against a run that is lost with its worker, though a stop would have
+// saved its work: it is stopped shortly before the departure.
+TEST_F(Drain, AShortTaskTakesItsCheckpointElsewhere)
+{
+	LongTaskOnALeavingWorker(true, 4000);
+	Simulate(left_ms - 1500 - now);
+	EXPECT_TRUE(stopped.empty());
+	Simulate(1000);
+	EXPECT_EQ(stopped.size(), 1u);
+	EXPECT_EQ(StartsOn("w2"), 1u);
+	EXPECT_EQ(s->counts.leaving_moves, 1u);
+	EXPECT_EQ(s->counts.failures, 0u);
+}
+
+// Guards against waiting for a departure that costs more work each second.
+TEST_F(Drain, AShortTaskWithoutCheckpointsStartsAnewAtOnce)
+{
+	LongTaskOnALeavingWorker(false, 4000);
+	Simulate(500);
+	EXPECT_EQ(stopped.size(), 1u);
+	EXPECT_EQ(StartsOn("w2"), 1u);
+}
+
+// Guards against a stop after which the task finds no place.
+TEST_F(Drain, AShortTaskStaysWhileNoWorkerHasRoom)
+{
+	LongTaskOnALeavingWorker(true, 500);
+	Simulate(left_ms - now);
+	EXPECT_TRUE(stopped.empty());
+}
+
+// Guards against moving what ends by itself before the worker leaves.
+TEST_F(Drain, AShortTaskThatEndsInTimeStays)
+{
+	LongTaskOnALeavingWorker(true, 4000);
+	run_ms["a"] = 4000;
+	Simulate(left_ms - now);
+	EXPECT_TRUE(stopped.empty());
+	EXPECT_EQ(RunningAnywhere(), 0u);
+	EXPECT_EQ(started.size(), 1u);
+}
+
+// A stop to a leaving worker is lost: it is sent again until the worker has
+// left, and the task isn't started twice meanwhile.
+TEST_F(Drain, ALostStopOfAShortTaskIsRepeated)
+{
+	LongTaskOnALeavingWorker(true, 4000);
+	sim["w1"].receives_stops = false;
+	Simulate(left_ms - 100 - now);
+	EXPECT_GT(stopped.size(), 1u);
+	EXPECT_EQ(StartsOn("w2"), 0u);
+	sim["w1"].receives_stops = true;
+	Simulate(1000);
+	EXPECT_EQ(StartsOn("w2"), 1u);
+}
