Copy runs of short tasks that are slow or on silent workers

Cause: a job waits for the last of its tasks, so one run on a slow, stalled or silent worker delays it by many times its length, or until the worker's lease has expired. Steps may allow copies, and nobody read that.

A run gets a copy on another worker if its worker doesn't answer, it makes no progress, or the ended runs of its step tell that a copy ends much earlier.

--- a/core/sched.c
+++ b/core/sched.c
@@ -25,6 +25,7 @@
 	TAILQ_INIT(&s->ended);
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->ending);
+	TAILQ_INIT(&s->copyable);
 	TAILQ_INIT(&s->queues);
 	LIST_INIT(&s->lost_incarnations);
 	s->next_serial = 1;
@@ -132,6 +133,7 @@
 		return;
 	inherit_update(s, now_ms);
 	place_waiting(s, now_ms);
+	copy_stragglers(s, now_ms);
 	job_retire_old(s, now_ms);
 	if (!TAILQ_EMPTY(&s->dirty))
 		s->opt.actions->save(s, s->opt.ctx);
--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -240,6 +240,10 @@
 	task_set_checkpoint(task, end->checkpoint);
 	if (present && end->how == END_DONE && !lasts)
 		health_task_done(worker, run, now_ms);
+	if (run != NULL && end->how == END_DONE && !lasts) {
+		copy_run_ended(run, now_ms);
+		copy_count_winner(s, task, run);
+	}
 	if (present && end->how == END_FAILED)
 		health_task_failed(worker, task_job(task), now_ms);
 	if (run != NULL) {
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -207,6 +207,10 @@
 /* The worker's free resources suffice for the task. */
 bool place_fits(const struct sched_worker *, const struct sched_task *);
 
+/* Starts a run of a task beside another; false: no worker is suitable. */
+bool place_copy(
+    struct sched *, struct sched_task *, enum straggler_reason, int64_t now_ms);
+
 /* sched_headroom.c */
 /* Adds a step that was opened to the measured demand of its queue. */
 void headroom_add_demand(
@@ -220,6 +224,16 @@
 /* Stops short tasks on draining workers that would be lost with them. */
 void leave_move_tasks(struct sched *, int64_t now_ms);
 
+/* sched_copy.c */
+bool copy_is_allowed(const struct graph_step *);
+/* A run ended as done: it tells the length of the others of its step. */
+void copy_run_ended(const struct sched_run *, int64_t now_ms);
+/* The run has completed its task: call it while the others are left. */
+void copy_count_winner(
+    struct sched *, const struct sched_task *, const struct sched_run *);
+/* Starts copies of runs that are slow, or whose worker is silent. */
+void copy_stragglers(struct sched *, int64_t now_ms);
+
 /* sched_rank.c */
 /* Jobs of higher rank are placed first. */
 double rank_job(const struct sched_job *, int64_t now_ms);
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -20,6 +20,12 @@
  * thousandths, so that fillers go where the load is low or falls.
  */
 #define LOAD_RATIO_COST 15000
+/* A worker whose tasks take this many times as long as elsewhere is slow. */
+#define SLOW 1.3
+/* Cost of a rack that has another run of the task, in thousandths. */
+#define SAME_RACK_COST 1e5
+/* First letters of the label that names a worker's rack. */
+#define RACK_LABEL "rack"
 /* Cost of each run that a crash of the worker would end, in thousandths. */
 #define LOST_RUN_COST 20000
 /* A filler waits this long for a worker where no serving task gets late. */
@@ -74,6 +80,7 @@
 	uint32_t starts_max; /* of this pass */
 	struct placing_miss misses[MISSES_MAX];
 	size_t nmisses;
+	bool room_short; /* a short task found no worker */
 };
 
 static void
@@ -135,6 +142,22 @@
 	return n;
 }
 
+/*
+ * A worker for a copy runs none of the task's other runs, and isn't slow: a
+ * copy there would end no earlier.
+ */
+static bool
+copy_allowed(const struct sched_worker *worker, const struct sched_task *task)
+{
+	const struct sched_run *run;
+
+	TAILQ_FOREACH (run, &task->runs, by_task) {
+		if (run->worker == worker)
+			return false;
+	}
+	return TAILQ_EMPTY(&task->runs) || worker->inc.speed <= SLOW;
+}
+
 static bool
 allowed(const struct sched_worker *worker, const struct sched_task *task)
 {
@@ -146,8 +169,9 @@
 	if (spec->label[0] != '\0' &&
 	    !sched_worker_has_label(worker, spec->label))
 		return false;
-	return spec->per_worker == 0 ||
-	    count_runs_of_step(worker, task->step) < spec->per_worker;
+	return copy_allowed(worker, task) &&
+	    (spec->per_worker == 0 ||
+		count_runs_of_step(worker, task->step) < spec->per_worker);
 }
 
 bool
@@ -206,6 +230,25 @@
 	return INTERFERENCE_COST * added + LOAD_RATIO_COST * ratio;
 }
 
+/* Whether another run of the task is in the worker's rack. */
+static bool
+shares_rack(const struct sched_worker *worker, const struct sched_task *task)
+{
+	const struct sched_run *run;
+	size_t i;
+
+	TAILQ_FOREACH (run, &task->runs, by_task) {
+		for (i = 0; i < worker->nlabels; i++) {
+			if (strncmp(worker->labels[i], RACK_LABEL,
+				strlen(RACK_LABEL)) == 0 &&
+			    sched_worker_has_label(
+				run->worker, worker->labels[i]))
+				return true;
+		}
+	}
+	return false;
+}
+
 /*
  * Score of the worker for the task: processors left after placing it, in
  * thousandths, less the cost of a slow worker, a distant rack or interference.
@@ -225,11 +268,13 @@
 		    spec->size.cpu_millis);
 	if (spec->filler && worker->serving > 0)
 		score -= interference_cost(p, worker, task);
-	if (worker->inc.speed > 1.3)
+	if (worker->inc.speed > SLOW)
 		score -= 8000 * (worker->inc.speed - 1);
 	if (spec->rack[0] != '\0' &&
 	    !sched_worker_has_label(worker, spec->rack))
 		score -= 1e6;
+	if (shares_rack(worker, task))
+		score -= SAME_RACK_COST;
 	if (task->avoid == worker->inc.serial)
 		score -= 1e5;
 	if (loss_is_suspect(p->s, task))
@@ -391,6 +436,31 @@
 	return true;
 }
 
+bool
+place_copy(struct sched *s, struct sched_task *task,
+    enum straggler_reason reason, int64_t now_ms)
+{
+	struct candidate *place;
+	struct sched_run *run;
+	struct placing p;
+
+	memset(&p, 0, sizeof(p));
+	p.s = s;
+	p.now_ms = now_ms;
+	run = NULL;
+	if ((place = pick_worker(&p, task)) != NULL)
+		run = run_new(
+		    s, task, place->worker, run_next_attempt(s, task), now_ms);
+	free(p.candidates);
+	if (run == NULL)
+		return false;
+	run->copy = reason;
+	s->ncopies++;
+	refusal_task_placed(run, now_ms);
+	send_start(s, run, now_ms);
+	return true;
+}
+
 /* Recompute the free resources after a gang was withdrawn. */
 static void
 update_free(struct placing *p)
@@ -458,6 +528,8 @@
 {
 	struct placing_miss *miss;
 
+	if (!step->spec->filler && !step->spec->lasts)
+		p->room_short = true;
 	if (p->nmisses == MISSES_MAX || !is_plain(step->spec))
 		return;
 	miss = &p->misses[p->nmisses++];
@@ -545,6 +617,7 @@
 		if (job->nwaiting > 0)
 			n++;
 	}
+	s->room_short = false;
 	if (n == 0)
 		return;
 	if ((jobs = reallocarray(NULL, n, sizeof(void *))) == NULL)
@@ -564,6 +637,7 @@
 	    s->starts_allowed < STARTS_MAX ? s->starts_allowed : STARTS_MAX;
 	for (i = 0; i < n && p.started < p.starts_max; i++)
 		job_each_step(jobs[i], place_step, &p);
+	s->room_short = p.room_short;
 	/* A withdrawn gang has set it, but freed nothing new. */
 	s->place_wanted = p.started >= p.starts_max;
 	p.examined += n + p.scanned / SCANNED_PER_EXAMINED;
--- a/core/sched_run.c
+++ b/core/sched_run.c
@@ -82,6 +82,10 @@
 	}
 	TAILQ_INSERT_TAIL(&worker->runs, run, by_worker);
 	TAILQ_INSERT_TAIL(&task->runs, run, by_task);
+	if (copy_is_allowed(spec))
+		TAILQ_INSERT_TAIL(&s->copyable, run, by_copies);
+	if (!spec->lasts && !spec->filler)
+		s->nshort++;
 	return run;
 }
 
@@ -127,6 +131,12 @@
 	task_job(task)->nactive--;
 	TAILQ_REMOVE(&worker->runs, run, by_worker);
 	TAILQ_REMOVE(&task->runs, run, by_task);
+	if (copy_is_allowed(spec))
+		TAILQ_REMOVE(&s->copyable, run, by_copies);
+	if (!spec->lasts && !spec->filler)
+		s->nshort--;
+	if (run->copy != STRAGGLER_NONE)
+		s->ncopies--;
 	free(run);
 	s->place_wanted = true;
 }
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -249,6 +249,7 @@
 	    worker->poll_guarded ? 0 : worker->inc.acknowledged;
 	worker->poll_pending = true;
 	worker->poll_sent_ms = now_ms;
+	worker->poll_wait_ms = wait_ms;
 	s->counts.polls++;
 	s->opt.actions->poll_worker(
 	    s, worker, worker->poll_deadline_ms, wait_ms, s->opt.ctx);
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -14,6 +14,7 @@
 #include "graph.h"
 #include "interference.h"
 #include "room.h"
+#include "straggler.h"
 
 /*
  * Scheduler of jobs made of steps, run by the leading entry.  The workers are
@@ -92,12 +93,14 @@
 struct sched_run {
 	TAILQ_ENTRY(sched_run) by_worker;
 	TAILQ_ENTRY(sched_run) by_task;
+	TAILQ_ENTRY(sched_run) by_copies; /* of runs that may be copied */
 	struct sched_task *task;
 	struct sched_worker *worker;
 	uint32_t incarnation; /* serial of the one that it was sent to */
 	uint32_t attempt;
 	enum sched_run_state state;
 	bool adopted; /* found at its worker, not started in this term */
+	enum straggler_reason copy; /* why it was started beside another */
 	bool trial; /* of a worker that has refused starts for want of room */
 	bool stop_wanted;
 	enum sched_stop_reason stop_reason; /* once it is wanted */
@@ -154,6 +157,7 @@
 	uint32_t attempt; /* the highest used in this term */
 	uint32_t avoid; /* serial of the incarnation where it last failed */
 	uint32_t moves; /* moves for lack of progress, in this term */
+	uint32_t copies; /* started in this term */
 	struct sched_runs runs;
 	int64_t not_before_ms; /* may run elsewhere until then, or backs off */
 	int64_t since_ms; /* waiting since */
@@ -185,6 +189,8 @@
 	uint32_t number;
 	uint32_t ndone;
 	uint32_t nactive;
+	uint32_t nended; /* runs that ended as done, in this term */
+	int64_t ended_ms; /* sum of their run times */
 	bool open; /* the steps it depends on are done */
 	struct sched_tasks waiting;
 	struct sched_task *tasks; /* NULL before it opens and when done */
@@ -379,6 +385,7 @@
 	int64_t leaves_ms; /* earliest departure while draining; 0: unknown */
 	bool poll_pending;
 	int64_t poll_sent_ms;
+	int64_t poll_wait_ms; /* how long it may wait for an end */
 	int64_t next_poll_ms;
 	uint32_t poll_incarnation; /* serial of the one last polled */
 	uint64_t poll_acknowledged; /* by the last poll */
@@ -526,6 +533,9 @@
 	uint64_t stops;
 	uint64_t paces;
 	uint64_t moves; /* of long-running tasks off draining workers */
+	uint64_t copies[STRAGGLER_REASONS];
+	uint64_t copies_won; /* ended before the run that they copied */
+	uint64_t copies_lost;
 	uint64_t leaving_moves; /* of other tasks off draining workers */
 	uint64_t stalled; /* runs found without progress */
 	uint64_t given_up; /* jobs failed because they crash workers */
@@ -595,6 +605,11 @@
 	int64_t place_min_ms; /* no placement pass before this */
 	int64_t drain_pass_ms; /* next pass over draining workers */
 	int64_t leave_pass_ms; /* the same for short tasks there */
+	int64_t copy_pass_ms; /* next pass over runs that may be copied */
+	struct sched_runs copyable; /* runs whose step allows copies */
+	uint32_t ncopies; /* runs that are copies */
+	uint32_t nshort; /* runs of tasks that end, but for fillers */
+	bool room_short; /* such a task found no room in the last pass */
 	bool deposed;
 	/* Workers that earlier leaders used and that haven't answered: */
 	uint64_t unsettled; /* sum of their hashes; 0: none */
--- /dev/null
+++ b/core/straggler.h
@@ -0,0 +1,41 @@
+#ifndef STRAGGLER_H
+#define STRAGGLER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Decides which runs get a copy on another worker, where their step allows it:
+ * the first copy to end counts.  A job waits for the last of its tasks, so one
+ * run on a slow or silent worker delays it by many times its length.
+ */
+
+enum straggler_reason {
+	STRAGGLER_NONE,
+	STRAGGLER_SILENT, /* its worker doesn't answer */
+	STRAGGLER_STALLED, /* it makes no progress */
+	STRAGGLER_SLOW, /* a copy would end much earlier */
+	STRAGGLER_REASONS
+};
+
+/* A run; times in milliseconds. */
+struct straggler_run {
+	int64_t age_ms; /* since its start was sent */
+	int64_t silent_ms; /* its worker's answer is overdue; 0: it isn't */
+	int64_t idle_ms; /* it was listed without progress for so long */
+	int percent; /* progress */
+	int percent_gained; /* of it, during gained_ms */
+	int64_t gained_ms;
+	int64_t fresh_ms; /* length of the like runs that have ended; 0: none */
+};
+
+/* Why the run should get a copy. */
+enum straggler_reason straggler_judge(const struct straggler_run *);
+/* Time that the run still takes, at least; -1: not known. */
+int64_t straggler_remaining_ms(const struct straggler_run *);
+const char *straggler_reason_name(enum straggler_reason);
+
+/* How many copies may run beside so many runs of short tasks. */
+uint32_t straggler_copies_max(uint32_t runs);
+
+#endif /* STRAGGLER_H */
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -377,7 +377,8 @@
 	    "fillers=%lld "
 	    "running=%u waiting=%u waiting_fillers=%u serving=%u late=%u "
 	    "paced=%u serving_use=%.2f starts=%llu looks=%llu stills=%llu "
-	    "moves=%llu leaving_moves=%llu restarts=%llu list_age_ms=%lld "
+	    "moves=%llu leaving_moves=%llu copies=%u copies_won=%llu "
+	    "copies_lost=%llu restarts=%llu list_age_ms=%lld "
 	    "cycle_ms=%.0f "
 	    "forecast_error=%.3f last_error=%.3f",
 	    load.workers, load.usable, load.barred[BAR_CLOSED],
@@ -390,6 +391,8 @@
 	    (unsigned long long)l->sched->counts.stalled,
 	    (unsigned long long)l->sched->counts.moves,
 	    (unsigned long long)l->sched->counts.leaving_moves,
+	    l->sched->ncopies, (unsigned long long)l->sched->counts.copies_won,
+	    (unsigned long long)l->sched->counts.copies_lost,
 	    (unsigned long long)l->sched->counts.restarts,
 	    (long long)listsync_age_ms(&l->listsync, now_ms),
 	    forecast_period_ms(&l->sched->rhythm), load.forecast_error,
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -149,6 +149,23 @@
 	call_end(call);
 }
 
+static void
+note_copy(const struct sched_run *run, const struct task_name *name)
+{
+	const struct sched_run *from;
+	const char *reason;
+
+	reason = straggler_reason_name(run->copy);
+	from = TAILQ_FIRST(&run->task->runs);
+	counter_inc_reason("lagoonpin_copies", reason);
+	log_info("task_copied",
+	    "job=%s occurrence=%u step=%u index=%u attempt=%u worker=%s "
+	    "from=%s reason=%s elapsed_ms=%lld percent=%d",
+	    name->job, name->occurrence, name->step, name->index, run->attempt,
+	    run->worker->id, from->worker->id, reason,
+	    (long long)(run->sent_ms - from->sent_ms), from->percent);
+}
+
 static void
 start(struct sched *s, struct sched_run *run, void *ctx)
 {
@@ -163,7 +180,9 @@
 		log_info("lead_first_start", "term=%llu after_ms=%lld",
 		    (unsigned long long)s->opt.term,
 		    (long long)(clock_now_ms() - s->opt.taken_ms));
-	if (!sched_run_is_first(s, run))
+	if (run->copy != STRAGGLER_NONE)
+		note_copy(run, &name);
+	else if (!sched_run_is_first(s, run))
 		log_info("task_start_again",
 		    "job=%s occurrence=%u step=%u index=%u attempt=%u "
 		    "worker=%s beside=%zu",
--- a/tests/sched_world.h
+++ b/tests/sched_world.h
@@ -41,6 +41,7 @@
 	bool same_ids = false; // incarnations keep the id and tell their start
 	int cancels = 0;
 	int crashing_jobs = 0; // jobs that crash their workers
+	bool copies = false; // every other job allows copies
 	int shrinks = 0; // of a worker's capacity, which grows again later
 };
 
@@ -141,6 +142,7 @@
 	std::vector<std::string> violations;
 	int starts = 0;
 	int takeovers_done = 0;
+	int copies = 0; // starts of a second run beside the first
 	int unknown_jobs = 0; // named by a worker before the leader knew them
 
 	// Called by the scheduler's actions.
@@ -164,6 +166,7 @@
 		bool done = false;
 		bool done_noted = false;
 		int failed_noted = 0;
+		int64_t noted_ms = 0; // the last of these
 		int crashes = 0; // of workers that ran it
 		int starts_after = 0; // starts after the third crash
 		int running = 0;
--- a/tests/test_sched_model.cc
+++ b/tests/test_sched_model.cc
@@ -328,3 +328,34 @@
 	faults.window_ms = 20000;
 	EXPECT_FALSE(Violations(faults, Defect::EarlyRecord, false).empty());
 }
+
+// Guards against a second run of a task that allows none, and a third of one
+// that allows copies, while leaders follow each other, workers are unreachable
+// and answers are lost.
+TEST(SchedModel, CopiesRunOnlyWhereTheyAreAllowed)
+{
+	Faults faults = LeadersFollowEachOther();
+
+	faults.copies = true;
+	faults.unreachable = 12;
+	faults.late = 0.02;
+	ExpectNoViolations(faults);
+}
+
+// Guards against a model that never starts a copy.
+TEST(SchedModel, TheModelStartsCopies)
+{
+	Faults faults;
+	int copies = 0;
+
+	faults.copies = true;
+	faults.unreachable = 4;
+	for (unsigned seed = 1; seed <= 10; seed++) {
+		World world(seed, faults);
+		SubmitJobs(world, faults);
+		world.RunUntilEnded(kRunMaxMs);
+		EXPECT_TRUE(world.AllEnded());
+		copies += world.copies;
+	}
+	EXPECT_GT(copies, 0);
+}
