Test that a filler avoids workers whose serving load is about to rise

The forecasts were tested only in forecast.c. This test runs two services with opposite phases through the scheduler and adds fillers when the rising service still has the lower estimated load.

--- a/tests/test_sched_share.cc
+++ b/tests/test_sched_share.cc
@@ -17,6 +17,8 @@
 // Relative rise of serving tasks' load per share of the worker that fillers
 // use.
 constexpr double kBadEffect = 4, kGoodEffect = 0.2;
+// The loads swing with a period of 2 pi times this.
+constexpr double kRadianMs = 2200;
 
 struct Key {
 	std::string job;
@@ -118,7 +120,20 @@
 	double
 	Load(const Running &r) const
 	{
-		return 0.45 * (1 + 0.5 * sin(now / 2200.0 + r.phase));
+		return 0.45 * (1 + 0.5 * sin(now / kRadianMs + r.phase));
+	}
+	// Estimated load of the serving tasks of a worker.
+	double
+	LoadNow(const std::string &id)
+	{
+		struct sched_worker *w = sched_worker_find(s, id.c_str());
+		struct sched_run *run;
+
+		TAILQ_FOREACH (run, &w->runs, by_worker)
+			if (run->task->step->spec->tail_target_ms > 0)
+				return load_estimate_value(
+				    &run->task->step->load);
+		return 0;
 	}
 	// Advances all runs by 50 ms, with the interference of the fillers.
 	void
@@ -225,7 +240,9 @@
 		r.cpu = spec->size.cpu_millis;
 		r.work_ms = 2500;
 		sched_task_name(run->task, &r.task);
-		r.phase = r.task.index * 1.7;
+		r.phase = self->phases.count(r.task.job) ?
+		    self->phases[r.task.job] :
+		    r.task.index * 1.7;
 		Key key = { r.task.job, r.task.index, run->attempt };
 		self->running[key] = r;
 		self->answers.push_back({ key, run->worker });
@@ -275,6 +292,7 @@
 	struct sched_options options;
 	struct sched *s;
 	int64_t now = 10000;
+	std::map<std::string, double> phases; // by job; others by task
 	std::map<Key, Running> running;
 	std::vector<std::pair<Key, struct sched_worker *>> answers;
 	std::vector<std::pair<std::string, int64_t>> polls;
@@ -353,3 +371,45 @@
 	EXPECT_LT(stops, 68);
 	EXPECT_LT(longest_late, options.harm_ms);
 }
+
+// Guards against placing a filler by the present load: it would run beside the
+// serving tasks whose load is low now but rises to its crest, instead of beside
+// those whose load is higher but falls.
+TEST_F(Shared, AFillerAvoidsALoadThatIsAboutToRise)
+{
+	std::map<std::string, std::string> worker_of;
+	int placed = 0;
+
+	phases = { { "one", 0 }, { "two", M_PI } };
+	AddWorkers(2);
+	// Each fills one worker.  They are of the same image, so that the
+	// filler interferes with both alike.
+	Add("one", "web", 4, 7500, false);
+	Add("two", "web", 4, 7500, false);
+	Simulate(45000);
+	for (auto &[key, r] : running)
+		worker_of[key.job] = r.worker;
+	ASSERT_NE(worker_of["one"], worker_of["two"]);
+	for (int i = 0; i < 8; i++) {
+		// Half a turn later the two loads have changed places.
+		std::string falls = i % 2 == 0 ? "two" : "one";
+		std::string filler = "good" + std::to_string(i);
+		int64_t turns = (int64_t)(now / (2 * M_PI * kRadianMs)) + 1;
+		int64_t start = (int64_t)((2 * M_PI * (double)turns + 0.3 +
+					      (i % 2 == 0 ? 0 : M_PI)) *
+		    kRadianMs);
+		Simulate(start - now);
+		EXPECT_LT(LoadNow(worker_of[i % 2 == 0 ? "one" : "two"]),
+		    LoadNow(worker_of[falls]))
+		    << filler;
+		Add(filler, "good", 1, 4000, true);
+		Simulate(200);
+		for (auto &[key, r] : running) {
+			if (key.job != filler)
+				continue;
+			placed++;
+			EXPECT_EQ(r.worker, worker_of[falls]) << filler;
+		}
+	}
+	EXPECT_EQ(placed, 8);
+}
