Don't stop fillers where the serving load is expected to vanish

The reserve of -0.05 is added to the forecast. A forecast below 0.05 gave a negative divisor in fit_paces_to(), which lowered all fillers to pace 0. A forecast of 0 was taken for an unknown load, so the prior of 0.45 was used.

A load below the reserve now lowers no pace, and forecasts count as known loads of at least 0.001.

Measured: the new test fails before the change (pace 0 in place of 100, load ratio 0.51 in place of below 0.4) and passes after it.

--- a/core/sched_share.c
+++ b/core/sched_share.c
@@ -37,6 +37,8 @@
  * a moment.
  */
 #define RESERVE (-0.05)
+/* A forecast may be 0, which in struct sched_served means an unknown load. */
+#define KNOWN_LOAD_MIN 0.001
 /* Added to the reserve for each second of lateness. */
 #define RESERVE_PER_LATE_S 0.03
 /* Additional reserve that is required to raise a pace. */
@@ -240,6 +242,7 @@
 		for (k = 0; k < LOAD_HORIZONS; k++) {
 			load = forecast_step_load(
 			    run->task->step, (enum load_horizon)k, now_ms);
+			load = fmax(load, KNOWN_LOAD_MIN);
 			if (load > served->load[k])
 				served->load[k] = load;
 		}
@@ -409,13 +412,15 @@
 fit_paces_to(const struct sched *s, const struct sched_served *served,
     enum load_horizon horizon, struct paces *paces, double reserve)
 {
-	double allowed, by_most, filler_load;
+	double allowed, by_most, filler_load, load;
 	size_t most;
 	int lower;
 
-	if (served->load[horizon] <= 0)
+	load = served->load[horizon] + reserve;
+	/* A load below a negative reserve leaves room for any filler. */
+	if (served->load[horizon] <= 0 || load <= 0)
 		return;
-	allowed = limit_of(s, served) / (served->load[horizon] + reserve) - 1;
+	allowed = limit_of(s, served) / load - 1;
 	for (;;) {
 		filler_load =
 		    filler_load_of_all(s, served, paces, &most, &by_most);
--- a/tests/test_sched_share.cc
+++ b/tests/test_sched_share.cc
@@ -413,3 +413,36 @@
 	}
 	EXPECT_EQ(placed, 8);
 }
+
+// Guards against stopping fillers when the load beside them is expected to fall
+// below the reserve, and against taking a load of 0 for an unknown one.
+TEST_F(Shared, ALoadExpectedToVanishHoldsNoFillerBack)
+{
+	AddWorkers(1);
+	Add("serving", "web", 2, 6000, false);
+	Simulate(3000);
+	Add("good", "good", 2, 4000, true);
+	Simulate(500);
+	struct sched_worker *w = sched_worker_find(s, "w0");
+	ASSERT_GT(w->filler_cpu, 0);
+	for (double load : { 0.2, 0.05, 0.03, 0.0 }) {
+		struct sched_run *run;
+		TAILQ_FOREACH (run, &w->runs, by_worker) {
+			struct step_forecast *f = run->task->step->forecast;
+			if (f == nullptr)
+				continue;
+			f->told_ms = now;
+			for (double &highest : f->highest)
+				highest = load;
+		}
+		share_update(s, w, now);
+		TAILQ_FOREACH (run, &w->runs, by_worker) {
+			if (run->task->step->spec->filler) {
+				EXPECT_EQ(run->pace, 100) << load;
+			}
+		}
+		EXPECT_LT(
+		    share_load_ratio(s, w, LOAD_PLACE, IMAGE_NONE, 0), 0.4)
+		    << load;
+	}
+}
