Answer callers without room by their deadline

A job without room is looked up in the store before it is refused. Only waiting jobs and jobs under write were checked against their deadlines, so with a silent store such a caller was answered up to two failed reads, 2 s, late.

Jobs under read are now listed and checked as well. The answer is 504, as an earlier request may have stored the job, and nothing is written afterwards.

--- a/entry/accept.c
+++ b/entry/accept.c
@@ -64,6 +64,7 @@
 	struct node *node;
 	struct new_jobs waiting;
 	struct accept_writes in_flight;
+	struct new_jobs reading; /* without room, looked up in the store */
 	uint32_t writes; /* in flight */
 	uint32_t reads; /* in flight */
 	bool closed;
@@ -83,6 +84,7 @@
 	a->node = node;
 	TAILQ_INIT(&a->waiting);
 	TAILQ_INIT(&a->in_flight);
+	TAILQ_INIT(&a->reading);
 	return a;
 }
 
@@ -210,6 +212,7 @@
 	kv = &job->accept->node->opt.kv;
 	snprintf(key, sizeof(key), "%s%s", prefix, job->id);
 	job->accept->reads++;
+	TAILQ_INSERT_TAIL(&job->accept->reading, job, link);
 	kv->get(kv->self, key, done, job);
 }
 
@@ -253,8 +256,11 @@
 
 	a = job->accept;
 	a->reads--;
+	TAILQ_REMOVE(&a->reading, job, link);
 	if (a->closed)
 		fail(job, "closing");
+	else if (job->replied == NULL)
+		fail(job, "store_slow");
 	else if (result->error != KV_OK) {
 		job->refusal = NULL;
 		submit(a, job);
@@ -420,7 +426,8 @@
 
 /*
  * Answers callers whose deadline comes while the write of their job is under
- * way.  The write may yet take effect, so they aren't told that it failed.
+ * way, or a read that shows whether an earlier request has stored it.  The job
+ * may yet run, so they aren't told that it failed.
  */
 static void
 answer_in_flight(struct accept *a, int64_t now_ms)
@@ -434,6 +441,10 @@
 				reply_to(job, NODE_NO_ANSWER, "store_slow", 0);
 		}
 	}
+	TAILQ_FOREACH (job, &a->reading, link) {
+		if (now_ms >= job->deadline_ms)
+			reply_to(job, NODE_NO_ANSWER, "store_slow", 0);
+	}
 }
 
 void
--- a/tests/test_accept.cc
+++ b/tests/test_accept.cc
@@ -340,6 +340,29 @@
 	EXPECT_FALSE(TAILQ_EMPTY(&node->leader_requests));
 }
 
+// Guards against an answer after the caller's deadline while the store is read
+// for a job without room.  An earlier request may have stored it, so the caller
+// isn't told that it won't run.
+TEST_F(Accept, TheDeadlineOfAJobWithoutRoomIsKept)
+{
+	json_decref(node->shut);
+	node->shut = json_pack("[s]", "q");
+	node->full_ms = clock_now_ms();
+	Submit("a", 1000);
+	EXPECT_TRUE(writes.empty());
+	Advance(800);
+	EXPECT_TRUE(replies.empty());
+	Advance(100);
+	ASSERT_EQ(replies.size(), 1u);
+	EXPECT_EQ(replies[0].outcome, NODE_NO_ANSWER);
+	// The read fails later: nothing is written for a caller that is gone.
+	while (!reads.empty())
+		AnswerRead();
+	Advance(100);
+	EXPECT_EQ(replies.size(), 1u);
+	EXPECT_TRUE(writes.empty());
+}
+
 TEST_F(Accept, StateWithoutAnybodyToAskIsNoAnswer)
 {
 	node_state(node, "a", clock_now_ms() + 500, Replied, this);
