Notice a silent store while older calls are under way

The time of the oldest unanswered call was compared with that of the last answer. If a call was sent before the last answer and another one after it, the first hid the second until it failed, after 1 s. With several calls under way at an entry this is the usual start of an outage.

Calls sent before the last answer are now skipped.

--- a/entry/seam.h
+++ b/entry/seam.h
@@ -81,8 +81,11 @@
 	/* Times of the last answer, and of the last call without one. */
 	int64_t (*answered_ms)(void *self);
 	int64_t (*failed_ms)(void *self);
-	/* When the oldest call that is unanswered was sent; 0: there is none.
-	 * Watches aside, whose answers may take long. */
+	/*
+	 * When the oldest unanswered call that was sent after the last answer
+	 * was sent; 0: there is none.  Watches aside, whose answers may take
+	 * long.
+	 */
 	int64_t (*waiting_ms)(void *self);
 };
 
--- /dev/null
+++ b/tests/test_kv.cc
@@ -0,0 +1,151 @@
+#include <unistd.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <uv.h>
+
+extern "C" {
+#include "clock.h"
+#include "kv.h"
+}
+
+namespace {
+
+// A server that answers reads of the key "answered" and is silent otherwise.
+class Kv : public ::testing::Test {
+      protected:
+	void
+	SetUp() override
+	{
+		struct httpc_options http_options;
+		struct platform_kv_options options;
+		struct sockaddr_in any;
+		int len = sizeof(any);
+
+		clock_pause(1000000);
+		uv_loop_init(&loop);
+		server.data = this;
+		uv_tcp_init(&loop, &server);
+		uv_ip4_addr("127.0.0.1", 0, &any);
+		uv_tcp_bind(&server, (const struct sockaddr *)&any, 0);
+		ASSERT_EQ(
+		    uv_listen((uv_stream_t *)&server, 16, OnConnection), 0);
+		uv_tcp_getsockname(&server, (struct sockaddr *)&any, &len);
+		address = "127.0.0.1:" + std::to_string(ntohs(any.sin_port));
+		memset(&http_options, 0, sizeof(http_options));
+		http_options.loop = &loop;
+		http = httpc_open(&http_options);
+		ASSERT_NE(http, nullptr);
+		memset(&options, 0, sizeof(options));
+		options.http = http;
+		options.address = address.c_str();
+		kv = platform_kv_open(&options);
+		platform_kv_ops(kv, &ops);
+	}
+
+	void
+	TearDown() override
+	{
+		httpc_close(http);
+		uv_walk(
+		    &loop,
+		    [](uv_handle_t *handle, void *ctx) {
+			    if (!uv_is_closing(handle) &&
+				handle->type == UV_TCP && handle->data == ctx)
+				    uv_close(handle, nullptr);
+		    },
+		    this);
+		uv_run(&loop, UV_RUN_DEFAULT);
+		EXPECT_EQ(uv_loop_close(&loop), 0);
+		for (uv_tcp_t *client : clients)
+			delete client;
+		free(kv);
+		clock_resume();
+	}
+
+	void
+	Get(const char *key)
+	{
+		ops.get(
+		    ops.self, key,
+		    [](const struct kv_result *, void *ctx) {
+			    static_cast<Kv *>(ctx)->done++;
+		    },
+		    this);
+	}
+
+	void
+	RunUntilDone(int n)
+	{
+		for (int i = 0; i < 100 && done < n; i++) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			usleep(5000);
+		}
+	}
+
+	static void
+	OnConnection(uv_stream_t *server, int)
+	{
+		Kv *self = static_cast<Kv *>(server->data);
+		uv_tcp_t *client = new uv_tcp_t;
+
+		uv_tcp_init(&self->loop, client);
+		client->data = self;
+		self->clients.push_back(client);
+		uv_accept(server, (uv_stream_t *)client);
+		uv_read_start((uv_stream_t *)client, OnAlloc, OnRead);
+	}
+	static void
+	OnAlloc(uv_handle_t *handle, size_t, uv_buf_t *buf)
+	{
+		Kv *self = static_cast<Kv *>(handle->data);
+
+		*buf = uv_buf_init(self->input, sizeof(self->input));
+	}
+	static void
+	OnRead(uv_stream_t *client, ssize_t n, const uv_buf_t *buf)
+	{
+		static char answer[] =
+		    "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+		uv_buf_t out = uv_buf_init(answer, sizeof(answer) - 1);
+
+		if (n > 0 &&
+		    std::string(buf->base, (size_t)n).find("key=answered") !=
+			std::string::npos)
+			uv_try_write(client, &out, 1);
+	}
+
+	uv_loop_t loop;
+	uv_tcp_t server;
+	std::vector<uv_tcp_t *> clients;
+	char input[4096];
+	std::string address;
+	struct httpc *http = nullptr;
+	struct platform_kv *kv = nullptr;
+	struct kv_ops ops;
+	int done = 0;
+};
+
+} // namespace
+
+// Guards against a silence that isn't noticed for a second, because an older
+// call was under way when the store gave its last answer.
+TEST_F(Kv, ACallFromBeforeTheLastAnswerHidesNoSilence)
+{
+	EXPECT_EQ(ops.waiting_ms(ops.self), 0);
+	Get("silent");
+	EXPECT_EQ(ops.waiting_ms(ops.self), 1000000);
+	clock_advance(2);
+	Get("answered");
+	clock_advance(2);
+	RunUntilDone(1);
+	ASSERT_EQ(done, 1);
+	ASSERT_EQ(ops.answered_ms(ops.self), 1000004);
+	EXPECT_EQ(ops.waiting_ms(ops.self), 0);
+	clock_advance(2);
+	Get("silent");
+	EXPECT_EQ(ops.waiting_ms(ops.self), 1000006);
+}
