Use the last load of steps without tails after 2 s

The design has forecasts end 2 s after the last tail. The time in forecast_at() includes the look ahead, and its limit of 4 s let a cycle be continued for 2 to 3.8 s of silence, depending on how far ahead it was asked for.

sched_forecast.c now checks the age of the last tail.

--- a/core/sched_forecast.c
+++ b/core/sched_forecast.c
@@ -17,6 +17,8 @@
 #define RAISE_MS 500
 /* Fillers run for some seconds; forecasts further ahead err too much. */
 #define PLACE_MS 2000
+/* After this time without tails the last load is used, not a forecast. */
+#define SILENT_MS 2000
 /* For this long the last answers hold: many runs of a step ask at once. */
 #define TOLD_MS 100
 
@@ -41,6 +43,11 @@
 	int i;
 
 	forecast->told_ms = now_ms;
+	if (now_ms - forecast->forecast.last_ms > SILENT_MS) {
+		for (i = 0; i < LOAD_HORIZONS; i++)
+			forecast->highest[i] = forecast->forecast.last;
+		return;
+	}
 	forecast->highest[LOAD_SOON] =
 	    forecast_at(&forecast->forecast, now_ms + horizon_ms[LOAD_SOON]);
 	for (i = LOAD_SOON + 1; i < LOAD_HORIZONS; i++)
--- a/tests/test_sched_share.cc
+++ b/tests/test_sched_share.cc
@@ -446,3 +446,21 @@
 		    << load;
 	}
 }
+
+// Guards against a cycle that is continued after the tails it was fitted to
+// have stopped.
+TEST_F(Shared, AStepWithoutTailsKeepsItsLastLoad)
+{
+	AddWorkers(1);
+	Add("serving", "web", 2, 6000, false);
+	Simulate(45000);
+	struct sched_worker *w = sched_worker_find(s, "w0");
+	struct sched_step *step = TAILQ_FIRST(&w->runs)->task->step;
+	const struct forecast *f = &step->forecast->forecast;
+	ASSERT_NE(forecast_best(f), FORECAST_LAST);
+	int64_t silent_ms = f->last_ms + 2100;
+	for (int k = 0; k < LOAD_HORIZONS; k++)
+		EXPECT_DOUBLE_EQ(
+		    forecast_step_load(step, (enum load_horizon)k, silent_ms),
+		    f->last);
+}
