Move tasks off draining workers to slow workers too

Cause: the check that keeps copies off workers with a speed over 1.3 held for every task that has a run. A task that is to leave a draining worker has one, so place_has_room() found no room where only slow workers were left, and the task stayed and was lost with its worker. Change: the check holds for copies only. Result: two new tests of test_sched_drain failed before (no move) and pass.

--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -81,6 +81,7 @@
 	struct placing_miss misses[MISSES_MAX];
 	size_t nmisses;
 	bool room_short; /* a short task found no worker */
+	bool copy; /* for a copy, which would end no earlier on a slow worker */
 };
 
 static void
@@ -142,20 +143,16 @@
 	return n;
 }
 
-/*
- * A worker for a copy runs none of the task's other runs, and isn't slow: a
- * copy there would end no earlier.
- */
 static bool
-copy_allowed(const struct sched_worker *worker, const struct sched_task *task)
+has_run_of(const struct sched_worker *worker, const struct sched_task *task)
 {
 	const struct sched_run *run;
 
 	TAILQ_FOREACH (run, &task->runs, by_task) {
 		if (run->worker == worker)
-			return false;
+			return true;
 	}
-	return TAILQ_EMPTY(&task->runs) || worker->inc.speed <= SLOW;
+	return false;
 }
 
 static bool
@@ -169,7 +166,7 @@
 	if (spec->label[0] != '\0' &&
 	    !sched_worker_has_label(worker, spec->label))
 		return false;
-	return copy_allowed(worker, task) &&
+	return !has_run_of(worker, task) &&
 	    (spec->per_worker == 0 ||
 		count_runs_of_step(worker, task->step) < spec->per_worker);
 }
@@ -333,6 +330,7 @@
 	return worker_startable(p->s, candidate->worker, p->now_ms) &&
 	    candidate->worker->inc.isolated_until_ms <= p->now_ms &&
 	    allowed(candidate->worker, task) &&
+	    (!p->copy || candidate->worker->inc.speed <= SLOW) &&
 	    (!spec->filler || filler_allowed(p, candidate->worker, task));
 }
 
@@ -447,6 +445,7 @@
 	memset(&p, 0, sizeof(p));
 	p.s = s;
 	p.now_ms = now_ms;
+	p.copy = true;
 	run = NULL;
 	if ((place = pick_worker(&p, task)) != NULL)
 		run = run_new(
--- a/tests/test_sched_drain.cc
+++ b/tests/test_sched_drain.cc
@@ -190,3 +190,33 @@
 	Simulate(1000);
 	EXPECT_EQ(StartsOn("w2"), 1u);
 }
+
+// Guards against tasks that are lost with their worker, as the others are slow:
+// they may not be used for copies, but a waiting task starts there.
+TEST_F(Drain, AShortTaskMovesToASlowWorkerToo)
+{
+	LongTaskOnALeavingWorker(true, 4000);
+	sched_worker_find(s, "w2")->inc.speed = 2;
+	Simulate(left_ms - 500 - now);
+	EXPECT_EQ(s->counts.leaving_moves, 1u);
+	EXPECT_EQ(StartsOn("w2"), 1u);
+}
+
+// The same for a task that runs until its job is cancelled.
+TEST_F(Drain, ALongRunningTaskMovesToASlowWorkerToo)
+{
+	struct graph *g = Graph("a", 1, 1000);
+
+	g->steps[0].lasts = true;
+	Join("w1", 4000);
+	Simulate(300);
+	Add(g);
+	Simulate(500);
+	ASSERT_EQ(StartsOn("w1"), 1u);
+	Join("w2", 4000);
+	Simulate(300);
+	sched_worker_find(s, "w2")->inc.speed = 2;
+	ListAsDraining("w1", 4000);
+	Simulate(1000);
+	EXPECT_EQ(StartsOn("w2"), 1u);
+}
