Don't move a short task that has a copy

Cause: leave_move_tasks() didn't look at the other runs of a task. On a draining worker it stopped a run whose copy went on, although copied tasks aren't moved. Change: only the single run of a task leaves.

--- a/core/sched_leave.c
+++ b/core/sched_leave.c
@@ -7,6 +7,7 @@
 #define MOVES_MAX 8
 #define PASS_INTERVAL_MS 50
 
+/* A task that has another run isn't moved: that one goes on. */
 static bool
 can_leave(const struct sched_run *run)
 {
@@ -14,7 +15,9 @@
 
 	spec = run->task->step->spec;
 	return !spec->lasts && !spec->gang && run->state == RUN_RUNNING &&
-	    !run->stop_wanted && run->listed_ms != 0;
+	    !run->stop_wanted && run->listed_ms != 0 &&
+	    TAILQ_FIRST(&run->task->runs) == run &&
+	    TAILQ_NEXT(run, by_task) == NULL;
 }
 
 /* It still answers, so that a stop can be carried out. */
--- a/tests/test_sched_copy.cc
+++ b/tests/test_sched_copy.cc
@@ -219,3 +219,18 @@
 	Simulate(6000);
 	EXPECT_EQ(s->counts.copies[STRAGGLER_STALLED], 2u);
 }
+
+// Guards against a stop of the run that is further on: its copy goes on.
+TEST_F(Copy, ACopiedRunIsNotMovedOffADrainingWorker)
+{
+	Start(true);
+	WorkerOf(0).slowdown = 20;
+	for (int i = 0; i < 80 && Starts(0) < 2; i++)
+		Simulate(50);
+	ASSERT_EQ(Starts(0), 2u);
+	ListAsDraining(
+	    started[static_cast<size_t>(StartOf(0, 0))].worker.c_str(), 4000);
+	Simulate(300);
+	EXPECT_EQ(s->counts.leaving_moves, 0u);
+	EXPECT_EQ(RunningAnywhere(), 2u);
+}
