Count a copy that ends second as lost only

Cause: a copy that ended after the copied run, but before its stop, was counted in copies_lost with the first end and in copies_won with its own. Change: an end counts only if it completes the task of an open job. Result: Copy.ACopyThatEndsSecondIsOnlyLost failed before (won 1, lost 1) and passes.

--- a/core/sched_copy.c
+++ b/core/sched_copy.c
@@ -37,6 +37,9 @@
 {
 	const struct sched_run *run;
 
+	/* Another run has ended before, or the job has. */
+	if (task->state == SCHED_DONE || task_job(task)->in_ended)
+		return;
 	if (won->copy != STRAGGLER_NONE)
 		s->counts.copies_won++;
 	TAILQ_FOREACH (run, &task->runs, by_task) {
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -228,7 +228,10 @@
 bool copy_is_allowed(const struct graph_step *);
 /* A run ended as done: it tells the length of the others of its step. */
 void copy_run_ended(const struct sched_run *, int64_t now_ms);
-/* The run has completed its task: call it while the others are left. */
+/*
+ * The run has ended as done, and is the first of its task if the task isn't
+ * done: call it before task_done(), while the others are left.
+ */
 void copy_count_winner(
     struct sched *, const struct sched_task *, const struct sched_run *);
 /* Starts copies of runs that are slow, or whose worker is silent. */
--- a/tests/test_sched_copy.cc
+++ b/tests/test_sched_copy.cc
@@ -234,3 +234,23 @@
 	EXPECT_EQ(s->counts.leaving_moves, 0u);
 	EXPECT_EQ(RunningAnywhere(), 2u);
 }
+
+// Guards against a copy that counts as lost and as won: it ended before its
+// stop arrived, but after the copied run.
+TEST_F(Copy, ACopyThatEndsSecondIsOnlyLost)
+{
+	Start(true);
+	SimWorker &slow = WorkerOf(0);
+	slow.slowdown = 8;
+	for (int i = 0; i < 60 && Starts(0) < 2; i++)
+		Simulate(50);
+	ASSERT_EQ(Starts(0), 2u);
+	sim[started[static_cast<size_t>(StartOf(0, 1))].worker].receives_stops =
+	    false;
+	slow.slowdown = 1;
+	Simulate(2000);
+	EXPECT_EQ(sched_job_visible_state(job), JOB_COMPLETED);
+	EXPECT_EQ(RunningAnywhere(), 0u);
+	EXPECT_EQ(s->counts.copies_lost, 1u);
+	EXPECT_EQ(s->counts.copies_won, 0u);
+}
