Start no copies while a gang of short tasks waits for room

Cause: place_gang() didn't set room_short, so copies took the room that a gang needs at once. Change: a gang of short tasks that finds no room sets it, as other steps do. Result: Copy.NothingIsCopiedWhileAGangWaitsForRoom failed before (1 copy) and passes.

--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -493,6 +493,8 @@
 	}
 	for (n = 0; n < step->spec->count; n++) {
 		place = pick_worker(p, &step->tasks[n]);
+		if (place == NULL && !step->spec->lasts)
+			p->room_short = true;
 		run = place == NULL ? NULL :
 				      run_new(p->s, &step->tasks[n],
 					  place->worker, attempt, p->now_ms);
--- a/tests/test_sched_copy.cc
+++ b/tests/test_sched_copy.cc
@@ -254,3 +254,15 @@
 	EXPECT_EQ(s->counts.copies_lost, 1u);
 	EXPECT_EQ(s->counts.copies_won, 0u);
 }
+
+// Guards against copies that take the room that a gang waits for.
+TEST_F(Copy, NothingIsCopiedWhileAGangWaitsForRoom)
+{
+	Start(true);
+	WorkerOf(0).reachable = false;
+	struct graph *g = Graph("b", 40, 1000);
+	g->steps[0].gang = true;
+	Add(g);
+	Simulate(1500);
+	EXPECT_EQ(s->counts.copies[STRAGGLER_SILENT], 0u);
+}
