Don't take workers for silent because the leader was delayed

Cause: an answer counted as overdue although it had come and wasn't read yet. After the leader was held up for 0.3 s beyond a poll, it copied the runs of all workers with a poll under way, up to the limit on copies. Change: the delay of the pass doesn't count towards the silence of a worker.

--- a/core/sched_copy.c
+++ b/core/sched_copy.c
@@ -48,26 +48,33 @@
 	}
 }
 
-/* How long an answer of the worker is overdue. */
+/*
+ * How long an answer of the worker is overdue.  Answers that came while this
+ * pass was late may not be read yet, so its delay late_ms doesn't count.
+ */
 static int64_t
-silent_ms(const struct sched_worker *worker, int64_t now_ms)
+silent_ms(const struct sched_worker *worker, int64_t late_ms, int64_t now_ms)
 {
 	int64_t due_ms;
 
 	if (worker->inc.misses > 0)
-		return now_ms - worker->inc.silent_ms;
-	due_ms = worker->poll_sent_ms + worker->poll_wait_ms;
-	return worker->poll_pending && now_ms > due_ms ? now_ms - due_ms : 0;
+		due_ms = worker->inc.silent_ms;
+	else if (worker->poll_pending)
+		due_ms = worker->poll_sent_ms + worker->poll_wait_ms;
+	else
+		return 0;
+	return now_ms - late_ms > due_ms ? now_ms - late_ms - due_ms : 0;
 }
 
 static void
-describe(const struct sched_run *run, struct straggler_run *out, int64_t now_ms)
+describe(const struct sched_run *run, struct straggler_run *out,
+    int64_t late_ms, int64_t now_ms)
 {
 	const struct sched_step *step;
 
 	step = run->task->step;
 	out->age_ms = now_ms - run->sent_ms;
-	out->silent_ms = silent_ms(run->worker, now_ms);
+	out->silent_ms = silent_ms(run->worker, late_ms, now_ms);
 	out->idle_ms = run->listed_ms - run->percent_ms;
 	out->percent = run->percent;
 	out->percent_gained = run->percent - run->first_percent;
@@ -103,12 +110,13 @@
 
 /* false: no worker has room for the copy, or there is no memory. */
 static bool
-copy_run(struct sched *s, struct sched_run *run, int64_t now_ms)
+copy_run(
+    struct sched *s, struct sched_run *run, int64_t late_ms, int64_t now_ms)
 {
 	struct straggler_run description;
 	enum straggler_reason reason;
 
-	describe(run, &description, now_ms);
+	describe(run, &description, late_ms, now_ms);
 	reason = straggler_judge(&description);
 	if (reason == STRAGGLER_NONE)
 		return true;
@@ -124,9 +132,11 @@
 {
 	struct sched_run *run, *next;
 	uint32_t misses, most;
+	int64_t late_ms;
 
 	if (s->frozen || now_ms < s->copy_pass_ms || TAILQ_EMPTY(&s->copyable))
 		return;
+	late_ms = now_ms - s->copy_pass_ms;
 	s->copy_pass_ms = now_ms + PASS_INTERVAL_MS;
 	sched_due(s, s->copy_pass_ms);
 	if (s->room_short || s->starts_allowed == 0)
@@ -137,7 +147,8 @@
 		next = TAILQ_NEXT(run, by_copies);
 		if (s->ncopies >= most || misses == MISSES_MAX)
 			return;
-		if (may_be_copied(s, run, now_ms) && !copy_run(s, run, now_ms))
+		if (may_be_copied(s, run, now_ms) &&
+		    !copy_run(s, run, late_ms, now_ms))
 			misses++;
 	}
 }
--- a/tests/test_sched_copy.cc
+++ b/tests/test_sched_copy.cc
@@ -266,3 +266,24 @@
 	Simulate(1500);
 	EXPECT_EQ(s->counts.copies[STRAGGLER_SILENT], 0u);
 }
+
+// Guards against copies of all runs after the leader was held up: the answers
+// of the workers wait unread.
+TEST_F(Copy, ADelayOfTheLeaderIsNoSilenceOfWorkers)
+{
+	Start(true);
+	run_ms["a"] = 10000;
+	now += 50;
+	sched_act(s, now);
+	ASSERT_EQ(polled.size(), 3u);
+	now += 1400;
+	sched_act(s, now);
+	EXPECT_EQ(started.size(), 3u);
+	for (auto &o : started)
+		Answer(sched_worker_find(s, o.worker.c_str()),
+		    { { o.task, o.attempt, "", 50, 0 } });
+	polled.clear();
+	Simulate(500);
+	EXPECT_EQ(started.size(), 3u);
+	EXPECT_EQ(s->counts.copies[STRAGGLER_SILENT], 0u);
+}
