Count copies against the starts that the link allows

Change: placed tasks and copies are subtracted from starts_allowed, which the caller sets before each sched_act(). Result: Copy.CopiesCountAgainstTheStartsThatTheLinkAllows failed before (2 copies in a pass that allowed 1) and passes.

--- a/core/sched_copy.c
+++ b/core/sched_copy.c
@@ -122,6 +122,7 @@
 		return true;
 	if (!place_copy(s, run->task, reason, now_ms))
 		return false;
+	s->starts_allowed--;
 	run->task->copies++;
 	s->counts.copies[reason]++;
 	return true;
@@ -139,13 +140,14 @@
 	late_ms = now_ms - s->copy_pass_ms;
 	s->copy_pass_ms = now_ms + PASS_INTERVAL_MS;
 	sched_due(s, s->copy_pass_ms);
-	if (s->room_short || s->starts_allowed == 0)
+	if (s->room_short)
 		return;
 	misses = 0;
 	most = straggler_copies_max(s->nshort);
 	for (run = TAILQ_FIRST(&s->copyable); run != NULL; run = next) {
 		next = TAILQ_NEXT(run, by_copies);
-		if (s->ncopies >= most || misses == MISSES_MAX)
+		if (s->ncopies >= most || misses == MISSES_MAX ||
+		    s->starts_allowed == 0)
 			return;
 		if (may_be_copied(s, run, now_ms) &&
 		    !copy_run(s, run, late_ms, now_ms))
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -639,6 +639,7 @@
 	for (i = 0; i < n && p.started < p.starts_max; i++)
 		job_each_step(jobs[i], place_step, &p);
 	s->room_short = p.room_short;
+	s->starts_allowed -= p.started;
 	/* A withdrawn gang has set it, but freed nothing new. */
 	s->place_wanted = p.started >= p.starts_max;
 	p.examined += n + p.scanned / SCANNED_PER_EXAMINED;
--- a/tests/test_sched_copy.cc
+++ b/tests/test_sched_copy.cc
@@ -287,3 +287,17 @@
 	EXPECT_EQ(started.size(), 3u);
 	EXPECT_EQ(s->counts.copies[STRAGGLER_SILENT], 0u);
 }
+
+// Guards against copies beyond what the link accepts.
+TEST_F(Copy, CopiesCountAgainstTheStartsThatTheLinkAllows)
+{
+	Start(true, 6);
+	WorkerOf(0).reachable = false;
+	for (int i = 0; i < 30; i++) {
+		size_t before = started.size();
+		s->starts_allowed = 1;
+		Simulate(50);
+		EXPECT_LE(started.size(), before + 1);
+	}
+	EXPECT_EQ(s->counts.copies[STRAGGLER_SILENT], 2u);
+}
