Keep the next pass of copies due between passes

Cause: sched_act() sets its next time anew, but copy_stragglers() asked for one only when it made a pass. Change: the time of the next pass is due there too. Result: Copy.TheNextPassStaysDueBetweenPasses failed before and passes.

--- a/core/sched_copy.c
+++ b/core/sched_copy.c
@@ -135,8 +135,12 @@
 	uint32_t misses, most;
 	int64_t late_ms;
 
-	if (s->frozen || now_ms < s->copy_pass_ms || TAILQ_EMPTY(&s->copyable))
+	if (s->frozen || TAILQ_EMPTY(&s->copyable))
 		return;
+	if (now_ms < s->copy_pass_ms) {
+		sched_due(s, s->copy_pass_ms);
+		return;
+	}
 	late_ms = now_ms - s->copy_pass_ms;
 	s->copy_pass_ms = now_ms + PASS_INTERVAL_MS;
 	sched_due(s, s->copy_pass_ms);
--- a/tests/test_sched_copy.cc
+++ b/tests/test_sched_copy.cc
@@ -301,3 +301,14 @@
 	}
 	EXPECT_EQ(s->counts.copies[STRAGGLER_SILENT], 2u);
 }
+
+// Guards against passes that wait for the next event of a worker.
+TEST_F(Copy, TheNextPassStaysDueBetweenPasses)
+{
+	Start(true);
+	int64_t pass_ms = s->copy_pass_ms;
+	now = pass_ms - 15;
+	sched_act(s, now);
+	ASSERT_EQ(s->copy_pass_ms, pass_ms);
+	EXPECT_LE(s->next_ms, pass_ms);
+}
