Scale the stall limit of copies, share free room among leaving tasks

A healthy run of 120 s gains a percent in 1.2 s and was taken for stalled after 0.7 s: a twentieth of the estimate is added. Each run on a leaving worker was asked for room alone, so four were stopped for one free place: tasks that are being moved now need at most half of the free processors. An inherited period lapses once all periods were tried and none fits; periods that the samples can't span aren't listed any more. Names of the forecast say what they hold.

Straggler.ALongRunMayGainNothingForLonger and Drain.ShortTasksLeaveOnlyAsFarAsThereIsRoom fail without the change.

--- a/core/forecast.c
+++ b/core/forecast.c
@@ -7,16 +7,16 @@
 #define PERIOD_MIN_MS 4000.0
 #define PERIOD_FACTOR 1.1
 /* A period is tried once the samples span this share of it. */
-#define SPAN_TO_FIND 0.9
+#define SPAN_TO_SEARCH 0.9
 /* A known period is fitted once the samples span this share of it. */
 #define SPAN_TO_FIT 0.4
-/* The period is looked for with each so many samples of a step. */
-#define FIND_EVERY 8
-/* Weight that a step's older results keep; some hundred results count. */
-#define RHYTHM_KEPT 0.997
-/* Results that are needed for a period of our own. */
-#define RHYTHM_WEIGHT_MIN 10.0
-/* A cycle that leaves more than this share of the variance is none. */
+/* Samples of a step between two searches for the period. */
+#define SEARCH_SAMPLES 8
+/* Decay of the misfits with each new one; some hundred of them count. */
+#define MISFIT_KEPT 0.997
+/* Misfits that are needed before a period is used. */
+#define MISFITS_MIN 10.0
+/* A fit that leaves more than this share of the variance is rejected. */
 #define MISFIT_MAX 0.6
 /*
  * Ratio of the variance of a sample's error to that of an amplitude: with few
@@ -24,7 +24,7 @@
  */
 #define RIDGE 0.07
 /* Share of the newest sample's deviation from the cycle that is kept. */
-#define LEVEL_KEPT 0.5
+#define DEVIATION_KEPT 0.5
 /* Weights of a new sample in the level and in the slope of the trend. */
 #define LEVEL_WEIGHT 0.5
 #define SLOPE_WEIGHT 0.15
@@ -158,7 +158,7 @@
 
 /* Judges all periods by the samples of one step. */
 static void
-find_period(const struct forecast *f, struct forecast_rhythm *rhythm)
+search_period(const struct forecast *f, struct forecast_cycle *cycle)
 {
 	struct fit fit;
 	double period_ms;
@@ -166,39 +166,38 @@
 
 	for (i = 0; i < FORECAST_PERIODS; i++) {
 		period_ms = tried_period_ms(i);
-		if (span_ms(f) < SPAN_TO_FIND * period_ms ||
+		if (span_ms(f) < SPAN_TO_SEARCH * period_ms ||
 		    !fit_cycle(f, period_ms, &fit))
 			return;
-		rhythm->misfit[i] =
-		    rhythm->misfit[i] * RHYTHM_KEPT + fit.misfit;
-		rhythm->weight[i] = rhythm->weight[i] * RHYTHM_KEPT + 1;
+		cycle->misfit[i] = cycle->misfit[i] * MISFIT_KEPT + fit.misfit;
+		cycle->weight[i] = cycle->weight[i] * MISFIT_KEPT + 1;
 	}
 }
 
 static bool
-is_tried(const struct forecast_rhythm *rhythm, int i)
+is_tried(const struct forecast_cycle *cycle, int i)
 {
 	return i >= 0 && i < FORECAST_PERIODS &&
-	    rhythm->weight[i] >= RHYTHM_WEIGHT_MIN;
+	    cycle->weight[i] >= MISFITS_MIN;
 }
 
 static double
-mean_misfit(const struct forecast_rhythm *rhythm, int i)
+mean_misfit(const struct forecast_cycle *cycle, int i)
 {
-	return rhythm->misfit[i] / rhythm->weight[i];
+	return cycle->misfit[i] / cycle->weight[i];
 }
 
 /* The minimum of a parabola through the misfits of neighbours. */
 static double
-interpolate_period_ms(const struct forecast_rhythm *rhythm, int i)
+interpolate_period_ms(const struct forecast_cycle *cycle, int i)
 {
 	double before, after, at, curve;
 
-	if (!is_tried(rhythm, i - 1) || !is_tried(rhythm, i + 1))
+	if (!is_tried(cycle, i - 1) || !is_tried(cycle, i + 1))
 		return tried_period_ms(i);
-	before = mean_misfit(rhythm, i - 1);
-	after = mean_misfit(rhythm, i + 1);
-	at = mean_misfit(rhythm, i);
+	before = mean_misfit(cycle, i - 1);
+	after = mean_misfit(cycle, i + 1);
+	at = mean_misfit(cycle, i);
 	curve = before - 2 * at + after;
 	if (curve <= 0)
 		return tried_period_ms(i);
@@ -207,7 +206,7 @@
 }
 
 double
-forecast_period_ms(const struct forecast_rhythm *rhythm)
+forecast_period_ms(const struct forecast_cycle *cycle)
 {
 	double least;
 	int i, best;
@@ -215,26 +214,30 @@
 	best = -1;
 	least = MISFIT_MAX;
 	for (i = 0; i < FORECAST_PERIODS; i++) {
-		if (is_tried(rhythm, i) && mean_misfit(rhythm, i) < least) {
-			least = mean_misfit(rhythm, i);
+		if (is_tried(cycle, i) && mean_misfit(cycle, i) < least) {
+			least = mean_misfit(cycle, i);
 			best = i;
 		}
 	}
 	/*
-	 * The longest of those tried fits any slow change.  A period that was
-	 * given stays until longer ones were tried.
+	 * The longest of those tried fits any slow change.  An inherited period
+	 * holds until all were tried and none fits.
 	 */
-	if (best < 0 || !is_tried(rhythm, best + 1))
-		return rhythm->given_ms;
-	return interpolate_period_ms(rhythm, best);
+	if (best < 0)
+		return is_tried(cycle, FORECAST_PERIODS - 1) ?
+		    0 :
+		    cycle->inherited_ms;
+	if (!is_tried(cycle, best + 1))
+		return cycle->inherited_ms;
+	return interpolate_period_ms(cycle, best);
 }
 
 void
-forecast_set_period(struct forecast_rhythm *rhythm, double period_ms)
+forecast_set_period(struct forecast_cycle *cycle, double period_ms)
 {
 	if (isfinite(period_ms) && period_ms >= PERIOD_MIN_MS &&
 	    period_ms <= tried_period_ms(FORECAST_PERIODS - 1))
-		rhythm->given_ms = period_ms;
+		cycle->inherited_ms = period_ms;
 }
 
 /* Load by one method, this long after the newest sample. */
@@ -249,7 +252,7 @@
 	case FORECAST_CYCLE:
 		angle = 2 * M_PI * ahead_ms / f->period_ms;
 		return f->mean + f->cosine * cos(angle) + f->sine * sin(angle) +
-		    LEVEL_KEPT * (sample_at(f, 0) - f->mean - f->cosine);
+		    DEVIATION_KEPT * (sample_at(f, 0) - f->mean - f->cosine);
 	default:
 		return sample_at(f, 0);
 	}
@@ -317,13 +320,13 @@
 }
 
 static void
-update_cycle(struct forecast *f, const struct forecast_rhythm *rhythm)
+update_cycle(struct forecast *f, const struct forecast_cycle *cycle)
 {
 	struct fit fit;
 	double period_ms;
 
 	f->period_ms = 0;
-	period_ms = forecast_period_ms(rhythm);
+	period_ms = forecast_period_ms(cycle);
 	if (period_ms <= 0 || span_ms(f) < SPAN_TO_FIT * period_ms ||
 	    !fit_cycle(f, period_ms, &fit))
 		return;
@@ -334,7 +337,7 @@
 }
 
 static void
-add_sample(struct forecast *f, struct forecast_rhythm *rhythm, double load)
+add_sample(struct forecast *f, struct forecast_cycle *cycle, double load)
 {
 	measure_errors(f, load);
 	update_trend(f, load);
@@ -343,16 +346,16 @@
 	if (f->n < FORECAST_SAMPLES)
 		f->n++;
 	f->sampled_ms += FORECAST_SAMPLE_MS;
-	if (++f->unused >= FIND_EVERY) {
-		f->unused = 0;
-		find_period(f, rhythm);
+	if (++f->unsearched >= SEARCH_SAMPLES) {
+		f->unsearched = 0;
+		search_period(f, cycle);
 	}
-	update_cycle(f, rhythm);
+	update_cycle(f, cycle);
 	note_expected(f);
 }
 
 void
-forecast_update(struct forecast *f, struct forecast_rhythm *rhythm, double load,
+forecast_update(struct forecast *f, struct forecast_cycle *cycle, double load,
     int64_t now_ms)
 {
 	double at, before;
@@ -363,7 +366,7 @@
 		f->sampled_ms = now_ms - FORECAST_SAMPLE_MS;
 		f->last = load;
 		f->last_ms = now_ms;
-		add_sample(f, rhythm, load);
+		add_sample(f, cycle, load);
 		return;
 	}
 	before = f->last;
@@ -374,7 +377,7 @@
 		    1 :
 		    (double)(f->sampled_ms + FORECAST_SAMPLE_MS - f->last_ms) /
 			(double)span;
-		add_sample(f, rhythm, before + (load - before) * fmax(at, 0));
+		add_sample(f, cycle, before + (load - before) * fmax(at, 0));
 	}
 	f->last = load;
 	f->last_ms = now_ms;
--- a/core/forecast.h
+++ b/core/forecast.h
@@ -15,13 +15,13 @@
  * samples.  Each one's error is measured, and a method is used only where it
  * was clearly better than the last value.
  *
- * The users of a service have one rhythm, so all its steps share the period of
- * the cycle (struct forecast_rhythm); their phases and amplitudes differ.
+ * The cycles of all steps share one period (struct forecast_cycle); their
+ * phases and amplitudes differ.
  */
 
 #define FORECAST_SAMPLES 64
 #define FORECAST_SAMPLE_MS INT64_C(300)
-#define FORECAST_PERIODS 26
+#define FORECAST_PERIODS 18 /* the longest that the samples span */
 
 enum forecast_method {
 	FORECAST_LAST,
@@ -31,10 +31,10 @@
 };
 
 /* The period that the cycles of all steps share; zeroed: nothing is known. */
-struct forecast_rhythm {
+struct forecast_cycle {
 	double misfit[FORECAST_PERIODS]; /* decayed sums over the steps */
 	double weight[FORECAST_PERIODS]; /* of these sums */
-	double given_ms; /* found by the former leader; 0: none */
+	double inherited_ms; /* found by the former leader; 0: none */
 };
 
 /* Of one step; zeroed: nothing is known. */
@@ -52,12 +52,12 @@
 	float expected[FORECAST_METHODS][2]; /* made for the next samples */
 	float error[FORECAST_METHODS]; /* decayed mean square */
 	uint32_t nerrors;
-	uint32_t unused; /* samples since the period was last looked for */
+	uint32_t unsearched; /* samples since the last search for the period */
 };
 
 /* Takes the estimated load, between 0 and 1, at this time. */
 void forecast_update(
-    struct forecast *, struct forecast_rhythm *, double load, int64_t now_ms);
+    struct forecast *, struct forecast_cycle *, double load, int64_t now_ms);
 /* The load expected at that time, not before the last update. */
 double forecast_at(const struct forecast *, int64_t at_ms);
 /* The highest load expected between two times. */
@@ -68,8 +68,8 @@
 double forecast_error(const struct forecast *, enum forecast_method);
 
 /* 0: none was found. */
-double forecast_period_ms(const struct forecast_rhythm *);
+double forecast_period_ms(const struct forecast_cycle *);
 /* A former leader has found this period. */
-void forecast_set_period(struct forecast_rhythm *, double period_ms);
+void forecast_set_period(struct forecast_cycle *, double period_ms);
 
 #endif /* FORECAST_H */
--- a/core/sched_copy.c
+++ b/core/sched_copy.c
@@ -79,6 +79,7 @@
 	out->percent = run->percent;
 	out->percent_gained = run->percent - run->first_percent;
 	out->gained_ms = run->percent_ms - run->first_percent_ms;
+	out->estimate_ms = step->spec->estimate_ms;
 	out->fresh_ms =
 	    step->nended >= ENDED_MIN ? step->ended_ms / step->nended : 0;
 }
--- a/core/sched_forecast.c
+++ b/core/sched_forecast.c
@@ -19,8 +19,8 @@
 #define PLACE_MS 2000
 /* After this time without tails the last load is used, not a forecast. */
 #define SILENT_MS 2000
-/* For this long the last answers hold: many runs of a step ask at once. */
-#define TOLD_MS 100
+/* Forecasts are cached for this time: many runs of a step need them at once. */
+#define CACHE_MS 100
 
 static const int64_t horizon_ms[LOAD_HORIZONS] = { SOON_MS, RAISE_MS,
 	PLACE_MS };
@@ -33,16 +33,16 @@
 	/* Without memory the last value is used. */
 	if (step->forecast == NULL)
 		return;
-	forecast_update(&step->forecast->forecast, &s->rhythm,
+	forecast_update(&step->forecast->forecast, &s->cycle,
 	    load_estimate_value(&step->load), now_ms);
 }
 
 static void
-tell(struct step_forecast *forecast, int64_t now_ms)
+compute(struct step_forecast *forecast, int64_t now_ms)
 {
 	int i;
 
-	forecast->told_ms = now_ms;
+	forecast->cached_ms = now_ms;
 	if (now_ms - forecast->forecast.last_ms > SILENT_MS) {
 		for (i = 0; i < LOAD_HORIZONS; i++)
 			forecast->highest[i] = forecast->forecast.last;
@@ -63,8 +63,9 @@
 
 	if ((forecast = step->forecast) == NULL)
 		return load_estimate_value(&step->load);
-	if (forecast->told_ms == 0 || now_ms - forecast->told_ms >= TOLD_MS)
-		tell(forecast, now_ms);
+	if (forecast->cached_ms == 0 ||
+	    now_ms - forecast->cached_ms >= CACHE_MS)
+		compute(forecast, now_ms);
 	return forecast->highest[horizon];
 }
 
--- a/core/sched_leave.c
+++ b/core/sched_leave.c
@@ -8,6 +8,11 @@
 /* Steps in one pass for which no worker is found: each examines all too. */
 #define MISSES_MAX 8
 #define PASS_INTERVAL_MS 50
+/*
+ * Share of the free processors that moved tasks may need in total: each finds
+ * the same free worker.
+ */
+#define FREE_SHARE 0.5
 
 struct leave_pass {
 	struct sched *s;
@@ -16,8 +21,54 @@
 	uint32_t seen; /* runs that should leave */
 	const struct sched_step *missed[MISSES_MAX]; /* found no worker */
 	size_t nmissed;
+	bool measured; /* the next two */
+	int64_t free_cpu; /* of usable workers, in thousandths */
+	int64_t moving_cpu; /* reserved by tasks that are being moved */
 };
 
+static void
+add_moving(struct leave_pass *p, const struct sched_worker *worker)
+{
+	const struct sched_run *run;
+
+	TAILQ_FOREACH (run, &worker->runs, by_worker) {
+		if (run->stop_wanted && run->stop_reason == STOP_LEAVING &&
+		    !run->task->step->spec->filler)
+			p->moving_cpu += run->task->step->spec->size.cpu_millis;
+	}
+}
+
+static void
+measure(struct leave_pass *p)
+{
+	struct sched_worker *worker;
+	struct resources left;
+
+	p->measured = true;
+	RB_FOREACH (worker, sched_worker_tree, &p->s->workers) {
+		if (worker->draining) {
+			add_moving(p, worker);
+			continue;
+		}
+		room_get_free(&worker->room, &left);
+		if (left.cpu_millis > 0 &&
+		    worker_startable(p->s, worker, p->now_ms))
+			p->free_cpu += left.cpu_millis;
+	}
+}
+
+/* Fillers reserve no processors. */
+static bool
+fits_in_total(struct leave_pass *p, const struct graph_step *spec)
+{
+	if (spec->filler)
+		return true;
+	if (!p->measured)
+		measure(p);
+	return (double)(p->moving_cpu + spec->size.cpu_millis) <=
+	    FREE_SHARE * (double)p->free_cpu;
+}
+
 /* A task that has another run isn't moved: that one goes on. */
 static bool
 can_leave(const struct sched_run *run)
@@ -75,7 +126,8 @@
 		if (p->missed[i] == task->step)
 			return false;
 	}
-	if (place_has_room(p->s, task, p->now_ms))
+	if (fits_in_total(p, task->step->spec) &&
+	    place_has_room(p->s, task, p->now_ms))
 		return true;
 	p->missed[p->nmissed++] = task->step;
 	return false;
@@ -96,6 +148,8 @@
 			continue;
 		run_request_stop(p->s, run, STOP_LEAVING);
 		p->s->counts.leaving_moves++;
+		if (!run->task->step->spec->filler)
+			p->moving_cpu += run->task->step->spec->size.cpu_millis;
 		p->moves++;
 	}
 	return true;
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -173,10 +173,10 @@
 	LOAD_HORIZONS
 };
 
-/* Forecast of the load of a step's serving tasks, and what it told last. */
+/* Forecast of the load of a step's serving tasks, with cached results. */
 struct step_forecast {
 	struct forecast forecast;
-	int64_t told_ms; /* time of highest[]; 0: none */
+	int64_t cached_ms; /* time of highest[]; 0: none */
 	double highest[LOAD_HORIZONS]; /* expected within the horizon */
 };
 
@@ -622,7 +622,7 @@
 	int64_t next_ms; /* when sched_act() is due at the latest */
 	uint64_t random;
 	struct interference *interference;
-	struct forecast_rhythm rhythm; /* of the serving tasks' loads */
+	struct forecast_cycle cycle; /* of the serving tasks' loads */
 	double serving_use; /* learnt share of reserved CPU in use, serving */
 	double batch_use; /* the same for all other tasks */
 	struct blame_rate crash_rate; /* of workers */
--- a/core/straggler.c
+++ b/core/straggler.c
@@ -4,10 +4,15 @@
 
 /* Younger runs may not have been listed yet. */
 #define AGE_MIN_MS 300
-/* Answers come within some tens of milliseconds. */
+/* Answers take some tens of milliseconds, so this is no delay on a link. */
 #define SILENT_MS 300
-/* A run on a worker that is 7 times slower gains a percent in this time. */
+/*
+ * A run is stalled after this time and this share of its declared length
+ * without a gain: on a worker that is five times slower it gains a percent in a
+ * twentieth of the length.
+ */
 #define STALLED_MS 700
+#define STALLED_SHARE 0.05
 /* Time until a copy runs. */
 #define START_MS 100
 /* A copy has to end in this part of the time that the run still takes. */
@@ -31,6 +36,12 @@
 	return -1;
 }
 
+static int64_t
+stalled_ms(const struct straggler_run *run)
+{
+	return STALLED_MS + (int64_t)(STALLED_SHARE * (double)run->estimate_ms);
+}
+
 static bool
 is_slow(const struct straggler_run *run)
 {
@@ -49,7 +60,7 @@
 		return STRAGGLER_NONE;
 	if (run->silent_ms >= SILENT_MS)
 		return STRAGGLER_SILENT;
-	if (run->idle_ms >= STALLED_MS)
+	if (run->idle_ms >= stalled_ms(run))
 		return STRAGGLER_STALLED;
 	return is_slow(run) ? STRAGGLER_SLOW : STRAGGLER_NONE;
 }
--- a/core/straggler.h
+++ b/core/straggler.h
@@ -26,7 +26,8 @@
 	int percent; /* progress */
 	int percent_gained; /* of it, during gained_ms */
 	int64_t gained_ms;
-	int64_t fresh_ms; /* length of the like runs that have ended; 0: none */
+	int64_t fresh_ms; /* mean length of ended runs of its step; 0: none */
+	int64_t estimate_ms; /* declared length */
 };
 
 /* Why the run should get a copy. */
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -95,7 +95,7 @@
 
 	pairs = json_array();
 	interference_foreach(l->sched->interference, add_pair, pairs);
-	period_ms = forecast_period_ms(&l->sched->rhythm);
+	period_ms = forecast_period_ms(&l->sched->cycle);
 	if (period_ms > 0)
 		json_array_append_new(
 		    pairs, json_pack("[sf]", LEARNT_PERIOD, round(period_ms)));
@@ -120,7 +120,7 @@
 		filler = json_string_value(json_array_get(row, 1));
 		if (serving != NULL && strcmp(serving, LEARNT_PERIOD) == 0 &&
 		    json_is_number(json_array_get(row, 1)))
-			forecast_set_period(&l->sched->rhythm,
+			forecast_set_period(&l->sched->cycle,
 			    json_number_value(json_array_get(row, 1)));
 		if (serving != NULL && filler != NULL)
 			interference_set_effect(l->sched->interference, serving,
@@ -395,7 +395,7 @@
 	    (unsigned long long)l->sched->counts.copies_lost,
 	    (unsigned long long)l->sched->counts.restarts,
 	    (long long)listsync_age_ms(&l->listsync, now_ms),
-	    forecast_period_ms(&l->sched->rhythm), load.forecast_error,
+	    forecast_period_ms(&l->sched->cycle), load.forecast_error,
 	    load.last_error);
 }
 
--- a/tests/test_sched_drain.cc
+++ b/tests/test_sched_drain.cc
@@ -245,3 +245,23 @@
 	EXPECT_EQ(stopped.size(), 1u);
 	EXPECT_EQ(StartsOn("w2"), 1u);
 }
+
+// Guards against stopping many runs for one free place: all but one would wait.
+TEST_F(Drain, ShortTasksLeaveOnlyAsFarAsThereIsRoom)
+{
+	struct graph *g = Graph("a", 4, 1000);
+
+	g->steps[0].estimate_ms = 20000;
+	run_ms["a"] = 20000;
+	Join("w1", 4000);
+	Simulate(300);
+	Add(g);
+	Simulate(500);
+	ASSERT_EQ(StartsOn("w1"), 4u);
+	Join("w2", 2000);
+	ListAsDraining("w1", 4000);
+	Simulate(2000);
+	EXPECT_GE(stopped.size(), 1u);
+	EXPECT_EQ(StartsOn("w2"), stopped.size());
+	EXPECT_EQ(RunningAnywhere(), 4u);
+}
--- a/tests/test_straggler.cc
+++ b/tests/test_straggler.cc
@@ -83,6 +83,18 @@
 	EXPECT_EQ(straggler_judge(&run), STRAGGLER_SILENT);
 }
 
+// Guards against copies of healthy long runs, which gain a percent in seconds.
+TEST(Straggler, ALongRunMayGainNothingForLonger)
+{
+	struct straggler_run run = Usual();
+
+	run.estimate_ms = 120000;
+	run.idle_ms = 6699;
+	EXPECT_EQ(straggler_judge(&run), STRAGGLER_NONE);
+	run.idle_ms = 6700;
+	EXPECT_EQ(straggler_judge(&run), STRAGGLER_STALLED);
+}
+
 // Guards against copies of runs that couldn't be listed yet.
 TEST(Straggler, AYoungRunGetsNoCopy)
 {
