--- a/core/confsync.h
+++ b/core/confsync.h
@@ -34,7 +34,7 @@
 	int64_t version; /* in force; 0: none yet */
 	struct confirmation confirmed; /* the version in force is the newest */
 	int64_t early_version; /* confirmed by a peer, not in force yet */
-	int64_t early_ms; /* when it was known to be the newest */
+	int64_t early_ms; /* when the peer knew it to be the newest */
 	int64_t peer_version; /* the highest that a peer has reported */
 	int64_t reported_ms; /* when it did */
 	int64_t invalid_version; /* reported, but not usable here; 0: none */
@@ -70,9 +70,9 @@
  */
 bool confsync_peer_reported(struct confsync *, int64_t version, int64_t now_ms);
 /*
- * At that time a peer knew that version to be the newest.  A version that isn't
- * in force yet is confirmed once it takes effect: the message that tells of a
- * new version confirms it too, and the next one comes only after the interval.
+ * At that time a peer knew that version to be the newest.  If the version isn't
+ * in force yet, the confirmation is kept and counts once the version takes
+ * effect: a peer's next message comes only after the interval.
  */
 void confsync_peer_confirmed(struct confsync *, int64_t version, int64_t at_ms);
 
--- a/core/forecast.c
+++ b/core/forecast.c
@@ -6,13 +6,13 @@
 /* Periods that are tried: from the shortest on, each longer by this factor. */
 #define PERIOD_MIN_MS 4000.0
 #define PERIOD_FACTOR 1.1
-/* A period is tried once the samples span this share of it. */
+/* A period is tried on samples that span at least this share of it. */
 #define SPAN_TO_SEARCH 0.9
-/* A known period is fitted once the samples span this share of it. */
+/* A cycle of known period is fitted once the samples span this share of it. */
 #define SPAN_TO_FIT 0.4
 /* Samples of a step between two searches for the period. */
 #define SEARCH_SAMPLES 8
-/* Decay of the misfits with each new one; some hundred of them count. */
+/* Decay of the sums of misfits with each new one; about 330 of them count. */
 #define MISFIT_KEPT 0.997
 /* Misfits that are needed before a period is used. */
 #define MISFITS_MIN 10.0
@@ -28,15 +28,15 @@
 /* Weights of a new sample in the level and in the slope of the trend. */
 #define LEVEL_WEIGHT 0.5
 #define SLOPE_WEIGHT 0.15
-/* A trend doesn't go on for longer than this. */
+/* A trend is extrapolated no further than this. */
 #define TREND_MAX_MS 1000.0
 /* Weight of a new error. */
 #define ERROR_WEIGHT 0.1
 /* Errors needed before a method other than the last value is used. */
 #define ERRORS_MIN 5
-/* A method is used if its mean square error is this share of the last's. */
+/* A method's mean square error must be below this share of the last value's. */
 #define BETTER_SHARE 0.81
-/* After a longer time without updates all is learnt anew. */
+/* After a longer time without updates a step's samples are discarded. */
 #define GAP_MAX_MS INT64_C(2000)
 /* A smaller pivot makes a system of equations singular. */
 #define SINGULAR 1e-9
@@ -156,7 +156,7 @@
 	return PERIOD_MIN_MS * pow(PERIOD_FACTOR, i);
 }
 
-/* Judges all periods by the samples of one step. */
+/* Adds the misfit of each period that the samples of one step can show. */
 static void
 search_period(const struct forecast *f, struct forecast_cycle *cycle)
 {
@@ -187,7 +187,7 @@
 	return cycle->misfit[i] / cycle->weight[i];
 }
 
-/* The minimum of a parabola through the misfits of neighbours. */
+/* The minimum of a parabola through the misfits of a period and neighbours. */
 static double
 interpolate_period_ms(const struct forecast_cycle *cycle, int i)
 {
@@ -220,8 +220,9 @@
 		}
 	}
 	/*
-	 * The longest of those tried fits any slow change.  An inherited period
-	 * holds until all were tried and none fits.
+	 * The longest period tried so far also fits any slow change, so it is
+	 * not used.  An inherited period is used until all periods were tried
+	 * and none fits.
 	 */
 	if (best < 0)
 		return is_tried(cycle, FORECAST_PERIODS - 1) ?
@@ -264,7 +265,7 @@
 	return method != FORECAST_CYCLE || f->period_ms > 0;
 }
 
-/* Compares what was expected of this sample two samples ago. */
+/* Updates each method's error by what it forecast two samples ago. */
 static void
 measure_errors(struct forecast *f, double load)
 {
@@ -285,7 +286,10 @@
 	f->nerrors++;
 }
 
-/* Expectations of the next sample but one; the last value until fitted. */
+/*
+ * Stores each method's forecast of the next sample but one; a cycle that isn't
+ * fitted yet forecasts the last value.
+ */
 static void
 note_expected(struct forecast *f)
 {
@@ -419,7 +423,7 @@
 	enum forecast_method method;
 
 	method = forecast_best(f);
-	/* Between two samples the latest load is newer than the grid. */
+	/* The latest load is newer than the newest sample. */
 	if (method == FORECAST_LAST || at_ms - f->last_ms > GAP_MAX_MS * 2)
 		return limit(f->last);
 	return limit(value_by(f, method, (double)(at_ms - f->sampled_ms)));
--- a/core/forecast.h
+++ b/core/forecast.h
@@ -8,12 +8,12 @@
 /*
  * Short-term forecast of the load of a step's serving tasks.
  *
- * Orders to fillers take effect a few hundred milliseconds after the tails that
- * they answer, and a filler that was placed stays for seconds, while the loads
- * of serving tasks rise and fall within seconds.  Three methods compete: the
- * last value, its trend, and a cycle (mean, sine and cosine) fitted to the last
- * samples.  Each one's error is measured, and a method is used only where it
- * was clearly better than the last value.
+ * Orders to fillers take effect a few hundred milliseconds after the tail
+ * latencies that caused them, and a filler that was placed stays for seconds,
+ * while the loads of serving tasks rise and fall within seconds.  Three methods
+ * compete: the last value, its trend, and a cycle (mean, sine and cosine)
+ * fitted to the last samples.  Each one's error is measured, and a method is
+ * used only where it was clearly better than the last value.
  *
  * The cycles of all steps share one period (struct forecast_cycle); their
  * phases and amplitudes differ.
@@ -21,7 +21,7 @@
 
 #define FORECAST_SAMPLES 64
 #define FORECAST_SAMPLE_MS INT64_C(300)
-#define FORECAST_PERIODS 18 /* the longest that the samples span */
+#define FORECAST_PERIODS 18 /* tried; the samples span 0.9 of the longest */
 
 enum forecast_method {
 	FORECAST_LAST,
@@ -37,7 +37,7 @@
 	double inherited_ms; /* found by the former leader; 0: none */
 };
 
-/* Of one step; zeroed: nothing is known. */
+/* The forecast of one step; zeroed: nothing is known. */
 struct forecast {
 	float samples[FORECAST_SAMPLES]; /* a ring, FORECAST_SAMPLE_MS apart */
 	uint32_t n; /* samples held */
@@ -49,7 +49,7 @@
 	double slope; /* per ms */
 	double mean, cosine, sine; /* of the cycle, from sampled_ms on */
 	double period_ms; /* of the cycle; 0: it isn't fitted */
-	float expected[FORECAST_METHODS][2]; /* made for the next samples */
+	float expected[FORECAST_METHODS][2]; /* forecasts of the next samples */
 	float error[FORECAST_METHODS]; /* decayed mean square */
 	uint32_t nerrors;
 	uint32_t unsearched; /* samples since the last search for the period */
@@ -67,7 +67,7 @@
 /* Root mean square error of the method, two samples ahead; 0: not known. */
 double forecast_error(const struct forecast *, enum forecast_method);
 
-/* 0: none was found. */
+/* The period with the smallest mean misfit; 0: none was found. */
 double forecast_period_ms(const struct forecast_cycle *);
 /* A former leader has found this period. */
 void forecast_set_period(struct forecast_cycle *, double period_ms);
--- a/core/leave.c
+++ b/core/leave.c
@@ -3,13 +3,13 @@
 /* A run that ends less than this before the departure may be lost. */
 #define SPARE_MS 300
 /*
- * A stop, the list that tells its end with the checkpoint, and one repetition
- * of either take this long.
+ * Time for a stop and for the list of runs that tells its end and checkpoint,
+ * including one repetition of either.
  */
 #define STOP_MS 1200
 /* Smaller gains say little about the speed of a run. */
 #define GAIN_MIN_PERCENT 5
-/* A run without checkpoints is given up only below this progress. */
+/* A run without checkpoints stays from this progress on: a stop loses it. */
 #define GIVE_UP_PERCENT 25
 
 int64_t
--- a/core/leave.h
+++ b/core/leave.h
@@ -5,16 +5,16 @@
 #include <stdint.h>
 
 /*
- * Decides when a short task leaves a worker that drains.  A worker ends its
- * runs when it leaves, and they are lost; a run that is stopped before resumes
- * elsewhere from the checkpoint that the stop produces.
+ * Decides when a short task is moved off a draining worker.  Runs that are left
+ * when the worker leaves are lost.  A run that is stopped before resumes
+ * elsewhere, from the checkpoint that the stop produces if its step has them.
  */
 
 /* A run of a short task on a draining worker. */
 struct leave_run {
 	bool checkpoints; /* a stop produces a checkpoint */
 	int percent; /* progress */
-	int percent_gained; /* of it, during gained_ms */
+	int percent_gained; /* progress made during gained_ms */
 	int64_t gained_ms;
 	int64_t estimate_ms; /* of the whole task */
 	int pace; /* speed limit in percent */
--- a/core/sched_copy.c
+++ b/core/sched_copy.c
@@ -1,16 +1,17 @@
 #include "sched_int.h"
 
 /*
- * Starts copies of runs, where their step allows it; straggler.c decides of
- * which.  The first end counts: the others are stopped when it is listed.
+ * Starts copies of runs, where their step allows it; straggler.c decides which
+ * runs get one.  The first end as done counts: once it is listed, the other run
+ * is stopped.
  */
 
 #define PASS_INTERVAL_MS 50
-/* Copies of a task, so that one that fails everywhere stops drawing them. */
+/* Copies of a task in a term: one that is slow everywhere gets no more. */
 #define COPIES_OF_TASK_MAX 2
-/* Copies in one pass for which no worker is found: each examines all. */
+/* Failed searches for a worker in one pass: each examines all workers. */
 #define MISSES_MAX 4
-/* Ended runs of the step that tell the length of a run. */
+/* Ended runs of the step from which on their mean length is used. */
 #define ENDED_MIN 2
 
 bool
@@ -49,8 +50,8 @@
 }
 
 /*
- * How long an answer of the worker is overdue.  Answers that came while this
- * pass was late may not be read yet, so its delay late_ms doesn't count.
+ * How long an answer of the worker is overdue.  The delay of this pass,
+ * late_ms, is subtracted, as answers that came meanwhile may not be read yet.
  */
 static int64_t
 silent_ms(const struct sched_worker *worker, int64_t late_ms, int64_t now_ms)
--- a/core/sched_forecast.c
+++ b/core/sched_forecast.c
@@ -9,15 +9,15 @@
  */
 
 /*
- * An order to a filler takes effect this long after the list that it answers:
- * the way to the worker, and the interval of frequent polls until the next one.
+ * An order to a filler takes effect this long after the list of runs that
+ * caused it: the delivery to the worker, and the interval of frequent polls.
  */
 #define SOON_MS 200
-/* A pace that would be lowered again within this time isn't raised. */
+/* A pace isn't raised if it would have to be lowered within this time. */
 #define RAISE_MS 500
 /* Fillers run for some seconds; forecasts further ahead err too much. */
 #define PLACE_MS 2000
-/* After this time without tails the last load is used, not a forecast. */
+/* After this time without tail latencies the last load is used. */
 #define SILENT_MS 2000
 /* Forecasts are cached for this time: many runs of a step need them at once. */
 #define CACHE_MS 100
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -226,15 +226,15 @@
 
 /* sched_copy.c */
 bool copy_is_allowed(const struct graph_step *);
-/* A run ended as done: it tells the length of the others of its step. */
+/* Adds the run, which ended as done, to the mean length of its step's runs. */
 void copy_run_ended(const struct sched_run *, int64_t now_ms);
 /*
- * The run has ended as done, and is the first of its task if the task isn't
- * done: call it before task_done(), while the others are left.
+ * Counts copies that won or lost when this run has ended as done.  Call it
+ * before task_done(): the task's state tells whether it had ended before.
  */
 void copy_count_winner(
     struct sched *, const struct sched_task *, const struct sched_run *);
-/* Starts copies of runs that are slow, or whose worker is silent. */
+/* Starts copies of runs that are slow or stalled, or on a silent worker. */
 void copy_stragglers(struct sched *, int64_t now_ms);
 
 /* sched_rank.c */
@@ -252,9 +252,9 @@
 double share_cpu_fraction(const struct sched *, const struct sched_worker *,
     const struct graph_step *);
 /*
- * Highest load of the serving tasks there within the horizon, relative to the
- * load at which they miss their targets, with one more filler that uses this
- * share of the worker.  Over 1 a serving task is late.
+ * Highest load of the serving tasks there, expected for the horizon, relative
+ * to the load at which they miss their targets, with one more filler that uses
+ * this share of the worker.  Over 1 a serving task is late.
  */
 double share_load_ratio(const struct sched *, const struct sched_worker *,
     enum load_horizon, int filler_image, double share);
@@ -269,11 +269,11 @@
 /* sched_forecast.c */
 /* Takes the present estimate of the load of the step's serving tasks. */
 void forecast_step_update(struct sched *, struct sched_step *, int64_t now_ms);
-/* The highest load expected within the horizon. */
+/* The load expected at LOAD_SOON, else the highest within the horizon. */
 double forecast_step_load(
     struct sched_step *, enum load_horizon, int64_t now_ms);
 void forecast_step_free(struct sched_step *);
-/* Sets the errors in the summary of the fleet. */
+/* Sets forecast_error and last_error. */
 void forecast_measure(struct sched *, struct sched_load *);
 
 /* sched_use.c */
--- a/core/sched_leave.c
+++ b/core/sched_leave.c
@@ -3,14 +3,14 @@
 
 /* Moves short tasks off draining workers; leave.c decides which and when. */
 
-/* Moves in one pass; each examines all workers. */
+/* Moves in one pass; each search for a worker examines all of them. */
 #define MOVES_MAX 8
-/* Steps in one pass for which no worker is found: each examines all too. */
+/* Steps without a worker in one pass; each search examines all workers too. */
 #define MISSES_MAX 8
 #define PASS_INTERVAL_MS 50
 /*
- * Share of the free processors that moved tasks may need in total: each finds
- * the same free worker.
+ * Share of the free processors that the tasks being moved may need in total.
+ * They hold no room until they start, so each finds the same worker free.
  */
 #define FREE_SHARE 0.5
 
@@ -18,10 +18,10 @@
 	struct sched *s;
 	int64_t now_ms;
 	uint32_t moves;
-	uint32_t seen; /* runs that should leave */
-	const struct sched_step *missed[MISSES_MAX]; /* found no worker */
+	uint32_t seen; /* runs that should leave, examined in this pass */
+	const struct sched_step *missed[MISSES_MAX]; /* no worker has room */
 	size_t nmissed;
-	bool measured; /* the next two */
+	bool measured; /* the next two are set */
 	int64_t free_cpu; /* of usable workers, in thousandths */
 	int64_t moving_cpu; /* reserved by tasks that are being moved */
 };
@@ -174,6 +174,6 @@
 		if (!(complete = move_runs(&p, worker)))
 			break;
 	}
-	/* Stopped runs don't count any more. */
+	/* Runs that are being stopped aren't seen by the next pass. */
 	s->leave_skip = complete ? 0 : p.seen - p.moves;
 }
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -20,11 +20,11 @@
  * thousandths, so that fillers go where the load is low or falls.
  */
 #define LOAD_RATIO_COST 15000
-/* A worker whose tasks take this many times as long as elsewhere is slow. */
+/* A worker whose tasks take over this many times as long as usual is slow. */
 #define SLOW 1.3
 /* Cost of a rack that has another run of the task, in thousandths. */
 #define SAME_RACK_COST 1e5
-/* First letters of the label that names a worker's rack. */
+/* Prefix of the label that names a worker's rack. */
 #define RACK_LABEL "rack"
 /* Cost of each run that a crash of the worker would end, in thousandths. */
 #define LOST_RUN_COST 20000
@@ -80,7 +80,7 @@
 	uint32_t starts_max; /* of this pass */
 	struct placing_miss misses[MISSES_MAX];
 	size_t nmisses;
-	bool room_short; /* a short task found no worker */
+	bool room_short; /* a task that ends, no filler, found no worker */
 	bool copy; /* for a copy, which would end no earlier on a slow worker */
 };
 
--- a/core/sched_share.c
+++ b/core/sched_share.c
@@ -417,7 +417,7 @@
 	int lower;
 
 	load = served->load[horizon] + reserve;
-	/* A load below a negative reserve leaves room for any filler. */
+	/* Unknown, or so low that with the negative reserve any filler fits. */
 	if (served->load[horizon] <= 0 || load <= 0)
 		return;
 	allowed = limit_of(s, served) / load - 1;
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -79,7 +79,7 @@
 	STOP_UNNEEDED, /* found at its worker, and its task is done or over */
 	STOP_STALLED, /* it makes no progress */
 	STOP_DRAINING, /* moved off a draining worker */
-	STOP_LEAVING, /* the same, of a task that ends by itself */
+	STOP_LEAVING, /* a short task or filler, moved off a draining worker */
 	STOP_THROTTLED, /* moved, as it could not run beside serving tasks */
 	STOP_GANG, /* another task of its gang isn't running */
 	STOP_DONE, /* another run has completed the task */
@@ -177,7 +177,8 @@
 struct step_forecast {
 	struct forecast forecast;
 	int64_t cached_ms; /* time of highest[]; 0: none */
-	double highest[LOAD_HORIZONS]; /* expected within the horizon */
+	/* Highest expected within the horizon; at LOAD_SOON the load then. */
+	double highest[LOAD_HORIZONS];
 };
 
 struct sched_step {
@@ -385,7 +386,7 @@
 	int64_t leaves_ms; /* earliest departure while draining; 0: unknown */
 	bool poll_pending;
 	int64_t poll_sent_ms;
-	int64_t poll_wait_ms; /* how long it may wait for an end */
+	int64_t poll_wait_ms; /* how long the worker may hold its answer */
 	int64_t next_poll_ms;
 	uint32_t poll_incarnation; /* serial of the one last polled */
 	uint64_t poll_acknowledged; /* by the last poll */
@@ -533,7 +534,7 @@
 	uint64_t stops;
 	uint64_t paces;
 	uint64_t moves; /* of long-running tasks off draining workers */
-	uint64_t copies[STRAGGLER_REASONS];
+	uint64_t copies[STRAGGLER_REASONS]; /* started, by reason */
 	uint64_t copies_won; /* ended before the run that they copied */
 	uint64_t copies_lost;
 	uint64_t leaving_moves; /* of other tasks off draining workers */
@@ -605,11 +606,11 @@
 	int64_t place_min_ms; /* no placement pass before this */
 	int64_t drain_pass_ms; /* next pass over draining workers */
 	int64_t leave_pass_ms; /* the same for short tasks there */
-	uint32_t leave_skip; /* runs examined by the passes before */
+	uint32_t leave_skip; /* runs that the next one skips: examined before */
 	int64_t copy_pass_ms; /* next pass over runs that may be copied */
 	struct sched_runs copyable; /* runs whose step allows copies */
 	uint32_t ncopies; /* runs that are copies */
-	uint32_t nshort; /* runs of tasks that end, but for fillers */
+	uint32_t nshort; /* runs of tasks that end, without fillers */
 	bool room_short; /* such a task found no room in the last pass */
 	bool deposed;
 	/* Workers that earlier leaders used and that haven't answered: */
--- a/core/straggler.c
+++ b/core/straggler.c
@@ -4,7 +4,7 @@
 
 /* Younger runs may not have been listed yet. */
 #define AGE_MIN_MS 300
-/* Answers take some tens of milliseconds, so this is no delay on a link. */
+/* Answers take some tens of milliseconds, so a link's delay is shorter. */
 #define SILENT_MS 300
 /*
  * A run is stalled after this time and this share of its declared length
@@ -15,11 +15,11 @@
 #define STALLED_SHARE 0.05
 /* Time until a copy runs. */
 #define START_MS 100
-/* A copy has to end in this part of the time that the run still takes. */
+/* The run must still take this many times as long as a copy would. */
 #define GAIN_FACTOR 1.5
 /* Smaller gains say little about the speed of a run. */
 #define GAIN_MIN_PERCENT 5
-/* A run without such a gain is slow after this many lengths of like runs. */
+/* A run without such a gain is slow after this many times the mean length. */
 #define SLOW_LENGTHS 3
 /* Limit on copies, as a share of the runs, but at least so many. */
 #define COPIES_SHARE 0.03
--- a/entry/accept.c
+++ b/entry/accept.c
@@ -24,7 +24,7 @@
 #define DEADLINE_MARGIN_MS 150
 /* For this long after a failed request, a new write would fail too. */
 #define STORE_DOWN_MS 1500
-/* A store that has answered nothing for so long is silent; 300 ms is slow. */
+/* A store without an answer for so long is silent; a slow one takes 300 ms. */
 #define STORE_SILENT_MS 400
 /* Retry-after time for callers while the store is unavailable. */
 #define STORE_RETRY_AFTER_MS 1000
@@ -153,8 +153,9 @@
 }
 
 /*
- * A call to a silent store fails only after a second; until then each entry
- * would accept jobs that it can't store.
+ * The store is down after a failure, and also while it is silent: a call to a
+ * silent store fails only after a second, and until then the entry would accept
+ * jobs that it can't store.
  */
 static bool
 store_is_down(const struct accept *a, int64_t now_ms)
--- a/entry/seam.h
+++ b/entry/seam.h
@@ -82,9 +82,9 @@
 	int64_t (*answered_ms)(void *self);
 	int64_t (*failed_ms)(void *self);
 	/*
-	 * When the oldest unanswered call that was sent after the last answer
-	 * was sent; 0: there is none.  Watches aside, whose answers may take
-	 * long.
+	 * Send time of the oldest unanswered call among those sent after the
+	 * last answer; 0: there is none.  Watches don't count, as their answers
+	 * may take long.
 	 */
 	int64_t (*waiting_ms)(void *self);
 };
--- a/tests/test_forecast.cc
+++ b/tests/test_forecast.cc
@@ -99,7 +99,7 @@
 	EXPECT_LT(Error(2000), 0.4 * ErrorOfLast(2000));
 }
 
-// Guards against another period than that of the cycle's prior range.
+// Guards against a search that finds only periods near the one of other tests.
 TEST_F(Forecast, AShorterCycleIsFound)
 {
 	period_ms = 6000;
@@ -128,7 +128,7 @@
 	EXPECT_EQ(forecast_period_ms(&cycle), 0);
 }
 
-// Guards against a cycle that is read into noise.
+// Guards against a cycle that is fitted to noise.
 TEST_F(Forecast, NoiseAroundAConstantHasNoCycle)
 {
 	amplitude = 0;
@@ -139,7 +139,7 @@
 	EXPECT_LT(Error(2000), 0.05);
 }
 
-// Guards against a forecast from before a silence of the worker.
+// Guards against a forecast from samples before a gap in the updates.
 TEST_F(Forecast, ASilenceForgetsTheStep)
 {
 	Open(1);
@@ -165,7 +165,7 @@
 	}
 }
 
-// Loads beyond 0 and 1 don't exist, whatever a trend says.
+// Guards against a trend that is extrapolated below 0 or above 1.
 TEST_F(Forecast, ForecastsStayLoads)
 {
 	struct forecast one = {};
@@ -178,7 +178,7 @@
 	EXPECT_GE(forecast_at(&one, now + 3000), 0);
 }
 
-// Bounded memory: one struct for each serving step.
+// Guards against unplanned use of memory: each serving step has one struct.
 TEST_F(Forecast, IsSmall)
 {
 	EXPECT_LE(sizeof(struct forecast), 600u);
--- a/tests/test_leave.cc
+++ b/tests/test_leave.cc
@@ -74,7 +74,7 @@
 	EXPECT_EQ(leave_decide(&run, 0), LEAVE_NOW);
 }
 
-// Without checkpoints all work so far is lost by a move.
+// Guards against a move without checkpoints that loses more than it saves.
 TEST(Leave, ARunWithoutCheckpointsLeavesEarlyOrNotAtAll)
 {
 	struct leave_run run = MakeRun(false);
--- a/tests/test_sched_copy.cc
+++ b/tests/test_sched_copy.cc
@@ -2,7 +2,7 @@
 
 namespace {
 
-// Jobs of three tasks of a second each, on three workers and more.
+// A job whose tasks take a second each, on three workers.
 class Copy : public SchedSim {
       protected:
 	void
@@ -91,7 +91,7 @@
 	EXPECT_EQ(s->nshort, 0u);
 }
 
-// The copied run ends first: the copy is stopped, and counts as lost.
+// Guards against a copy that goes on after the copied run has ended.
 TEST_F(Copy, ACopyThatIsNotNeededIsStopped)
 {
 	Start(true);
@@ -267,8 +267,8 @@
 	EXPECT_EQ(s->counts.copies[STRAGGLER_SILENT], 0u);
 }
 
-// Guards against copies of all runs after the leader was held up: the answers
-// of the workers wait unread.
+// Guards against copies of all runs after the leader was delayed, when the
+// answers of the workers are not read yet.
 TEST_F(Copy, ADelayOfTheLeaderIsNoSilenceOfWorkers)
 {
 	Start(true);
--- a/tests/test_sched_drain.cc
+++ b/tests/test_sched_drain.cc
@@ -149,7 +149,8 @@
 	EXPECT_EQ(s->counts.failures, 0u);
 }
 
-// Guards against waiting for a departure that costs more work each second.
+// Guards against a stop that is put off: without checkpoints a later one loses
+// more work.
 TEST_F(Drain, AShortTaskWithoutCheckpointsStartsAnewAtOnce)
 {
 	LongTaskOnALeavingWorker(false, 4000);
@@ -191,8 +192,8 @@
 	EXPECT_EQ(StartsOn("w2"), 1u);
 }
 
-// Guards against tasks that are lost with their worker, as the others are slow:
-// they may not be used for copies, but a waiting task starts there.
+// Guards against tasks that are lost with their worker because all others are
+// slow.  Slow workers get no copies, but other tasks may start there.
 TEST_F(Drain, AShortTaskMovesToASlowWorkerToo)
 {
 	LongTaskOnALeavingWorker(true, 4000);
--- a/tests/test_straggler.cc
+++ b/tests/test_straggler.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-// A run of which half is done after a second, as of its likes.
+// A run of which half is done after a second; others of its step take two.
 struct straggler_run
 Usual()
 {
