--- a/core/confsync.c
+++ b/core/confsync.c
@@ -86,7 +86,7 @@
 }
 
 static void
-note_early(struct confsync *sync, int64_t version, int64_t at_ms)
+keep_early_confirmation(struct confsync *sync, int64_t version, int64_t at_ms)
 {
 	if (version < sync->early_version ||
 	    (version == sync->early_version && at_ms <= sync->early_ms))
@@ -101,7 +101,7 @@
 	if (version == sync->version)
 		confirmation_note(&sync->confirmed, CONFIRMED_BY_PEER, at_ms);
 	else if (version > sync->version)
-		note_early(sync, version, at_ms);
+		keep_early_confirmation(sync, version, at_ms);
 }
 
 bool
--- a/core/forecast.c
+++ b/core/forecast.c
@@ -412,7 +412,7 @@
 }
 
 static double
-limit(double load)
+clamp_load(double load)
 {
 	return fmin(fmax(load, 0), 1);
 }
@@ -425,8 +425,8 @@
 	method = forecast_best(f);
 	/* The latest load is newer than the newest sample. */
 	if (method == FORECAST_LAST || at_ms - f->last_ms > GAP_MAX_MS * 2)
-		return limit(f->last);
-	return limit(value_by(f, method, (double)(at_ms - f->sampled_ms)));
+		return clamp_load(f->last);
+	return clamp_load(value_by(f, method, (double)(at_ms - f->sampled_ms)));
 }
 
 double
--- a/core/sched_copy.c
+++ b/core/sched_copy.c
@@ -54,7 +54,7 @@
  * late_ms, is subtracted, as answers that came meanwhile may not be read yet.
  */
 static int64_t
-silent_ms(const struct sched_worker *worker, int64_t late_ms, int64_t now_ms)
+overdue_ms(const struct sched_worker *worker, int64_t late_ms, int64_t now_ms)
 {
 	int64_t due_ms;
 
@@ -75,13 +75,13 @@
 
 	step = run->task->step;
 	out->age_ms = now_ms - run->sent_ms;
-	out->silent_ms = silent_ms(run->worker, late_ms, now_ms);
+	out->overdue_ms = overdue_ms(run->worker, late_ms, now_ms);
 	out->idle_ms = run->listed_ms - run->percent_ms;
 	out->percent = run->percent;
 	out->percent_gained = run->percent - run->first_percent;
 	out->gained_ms = run->percent_ms - run->first_percent_ms;
 	out->estimate_ms = step->spec->estimate_ms;
-	out->fresh_ms =
+	out->mean_length_ms =
 	    step->nended >= ENDED_MIN ? step->ended_ms / step->nended : 0;
 }
 
@@ -90,7 +90,7 @@
  * its task until its worker's lease has expired.
  */
 static bool
-may_outlast(const struct sched_run *run)
+may_hold_task(const struct sched_run *run)
 {
 	return !run->stop_wanted || run->stop_reason == STOP_UNCONFIRMED ||
 	    run->stop_reason == STOP_STALLED;
@@ -105,7 +105,7 @@
 	task = run->task;
 	return task->state == SCHED_ACTIVE && !task_job(task)->in_ended &&
 	    TAILQ_FIRST(&task->runs) == run &&
-	    TAILQ_NEXT(run, by_task) == NULL && may_outlast(run) &&
+	    TAILQ_NEXT(run, by_task) == NULL && may_hold_task(run) &&
 	    task->copies < COPIES_OF_TASK_MAX && !loss_is_suspect(s, task) &&
 	    !loss_awaits_save(task, now_ms) && !inherit_blocks(s, task);
 }
@@ -146,7 +146,7 @@
 	late_ms = now_ms - s->copy_pass_ms;
 	s->copy_pass_ms = now_ms + PASS_INTERVAL_MS;
 	sched_due(s, s->copy_pass_ms);
-	if (s->room_short)
+	if (s->short_task_waits)
 		return;
 	misses = 0;
 	most = straggler_copies_max(s->nshort);
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -21,7 +21,7 @@
  */
 #define LOAD_RATIO_COST 15000
 /* A worker whose tasks take over this many times as long as usual is slow. */
-#define SLOW 1.3
+#define SLOW_SPEED 1.3
 /* Cost of a rack that has another run of the task, in thousandths. */
 #define SAME_RACK_COST 1e5
 /* Prefix of the label that names a worker's rack. */
@@ -80,7 +80,8 @@
 	uint32_t starts_max; /* of this pass */
 	struct placing_miss misses[MISSES_MAX];
 	size_t nmisses;
-	bool room_short; /* a task that ends, no filler, found no worker */
+	bool
+	    short_task_waits; /* a task that ends, no filler, found no worker */
 	bool copy; /* for a copy, which would end no earlier on a slow worker */
 };
 
@@ -265,7 +266,7 @@
 		    spec->size.cpu_millis);
 	if (spec->filler && worker->serving > 0)
 		score -= interference_cost(p, worker, task);
-	if (worker->inc.speed > SLOW)
+	if (worker->inc.speed > SLOW_SPEED)
 		score -= 8000 * (worker->inc.speed - 1);
 	if (spec->rack[0] != '\0' &&
 	    !sched_worker_has_label(worker, spec->rack))
@@ -330,7 +331,7 @@
 	return worker_startable(p->s, candidate->worker, p->now_ms) &&
 	    candidate->worker->inc.isolated_until_ms <= p->now_ms &&
 	    allowed(candidate->worker, task) &&
-	    (!p->copy || candidate->worker->inc.speed <= SLOW) &&
+	    (!p->copy || candidate->worker->inc.speed <= SLOW_SPEED) &&
 	    (!spec->filler || filler_allowed(p, candidate->worker, task));
 }
 
@@ -494,7 +495,7 @@
 	for (n = 0; n < step->spec->count; n++) {
 		place = pick_worker(p, &step->tasks[n]);
 		if (place == NULL && !step->spec->lasts)
-			p->room_short = true;
+			p->short_task_waits = true;
 		run = place == NULL ? NULL :
 				      run_new(p->s, &step->tasks[n],
 					  place->worker, attempt, p->now_ms);
@@ -530,7 +531,7 @@
 	struct placing_miss *miss;
 
 	if (!step->spec->filler && !step->spec->lasts)
-		p->room_short = true;
+		p->short_task_waits = true;
 	if (p->nmisses == MISSES_MAX || !is_plain(step->spec))
 		return;
 	miss = &p->misses[p->nmisses++];
@@ -618,7 +619,7 @@
 		if (job->nwaiting > 0)
 			n++;
 	}
-	s->room_short = false;
+	s->short_task_waits = false;
 	if (n == 0)
 		return;
 	if ((jobs = reallocarray(NULL, n, sizeof(void *))) == NULL)
@@ -638,7 +639,7 @@
 	    s->starts_allowed < STARTS_MAX ? s->starts_allowed : STARTS_MAX;
 	for (i = 0; i < n && p.started < p.starts_max; i++)
 		job_each_step(jobs[i], place_step, &p);
-	s->room_short = p.room_short;
+	s->short_task_waits = p.short_task_waits;
 	s->starts_allowed -= p.started;
 	/* A withdrawn gang has set it, but freed nothing new. */
 	s->place_wanted = p.started >= p.starts_max;
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -611,7 +611,7 @@
 	struct sched_runs copyable; /* runs whose step allows copies */
 	uint32_t ncopies; /* runs that are copies */
 	uint32_t nshort; /* runs of tasks that end, without fillers */
-	bool room_short; /* such a task found no room in the last pass */
+	bool short_task_waits; /* such a task found no room in the last pass */
 	bool deposed;
 	/* Workers that earlier leaders used and that haven't answered: */
 	uint64_t unsettled; /* sum of their hashes; 0: none */
--- a/core/straggler.c
+++ b/core/straggler.c
@@ -31,7 +31,8 @@
 	if (run->percent_gained >= GAIN_MIN_PERCENT)
 		return run->gained_ms * (100 - run->percent) /
 		    run->percent_gained;
-	if (run->fresh_ms > 0 && run->age_ms >= SLOW_LENGTHS * run->fresh_ms)
+	if (run->mean_length_ms > 0 &&
+	    run->age_ms >= SLOW_LENGTHS * run->mean_length_ms)
 		return run->age_ms;
 	return -1;
 }
@@ -48,9 +49,9 @@
 	int64_t remaining_ms;
 
 	remaining_ms = straggler_remaining_ms(run);
-	return run->fresh_ms > 0 && remaining_ms >= 0 &&
+	return run->mean_length_ms > 0 && remaining_ms >= 0 &&
 	    (double)remaining_ms >
-	    GAIN_FACTOR * (double)(run->fresh_ms + START_MS);
+	    GAIN_FACTOR * (double)(run->mean_length_ms + START_MS);
 }
 
 enum straggler_reason
@@ -58,7 +59,7 @@
 {
 	if (run->age_ms < AGE_MIN_MS)
 		return STRAGGLER_NONE;
-	if (run->silent_ms >= SILENT_MS)
+	if (run->overdue_ms >= SILENT_MS)
 		return STRAGGLER_SILENT;
 	if (run->idle_ms >= stalled_ms(run))
 		return STRAGGLER_STALLED;
--- a/core/straggler.h
+++ b/core/straggler.h
@@ -21,12 +21,13 @@
 /* A run; times in milliseconds. */
 struct straggler_run {
 	int64_t age_ms; /* since its start was sent */
-	int64_t silent_ms; /* its worker's answer is overdue by this; or 0 */
+	int64_t overdue_ms; /* its worker's answer is overdue by this; or 0 */
 	int64_t idle_ms; /* it was listed without progress for so long */
 	int percent; /* progress */
 	int percent_gained; /* progress made during gained_ms */
 	int64_t gained_ms;
-	int64_t fresh_ms; /* mean length of ended runs of its step; 0: none */
+	int64_t
+	    mean_length_ms; /* mean length of ended runs of its step; 0: none */
 	int64_t estimate_ms; /* declared length */
 };
 
--- a/tests/test_straggler.cc
+++ b/tests/test_straggler.cc
@@ -16,7 +16,7 @@
 	run.percent = 50;
 	run.percent_gained = 50;
 	run.gained_ms = 1000;
-	run.fresh_ms = 2000;
+	run.mean_length_ms = 2000;
 	return run;
 }
 
@@ -57,7 +57,7 @@
 	struct straggler_run run = Usual();
 
 	run.percent = run.percent_gained = 10;
-	run.fresh_ms = 0;
+	run.mean_length_ms = 0;
 	EXPECT_EQ(straggler_judge(&run), STRAGGLER_NONE);
 }
 
@@ -79,7 +79,7 @@
 
 	run.idle_ms = 700;
 	EXPECT_EQ(straggler_judge(&run), STRAGGLER_STALLED);
-	run.silent_ms = 300;
+	run.overdue_ms = 300;
 	EXPECT_EQ(straggler_judge(&run), STRAGGLER_SILENT);
 }
 
@@ -101,7 +101,7 @@
 	struct straggler_run run = Usual();
 
 	run.age_ms = 299;
-	run.silent_ms = 1000;
+	run.overdue_ms = 1000;
 	EXPECT_EQ(straggler_judge(&run), STRAGGLER_NONE);
 }
 
