Review case 2: a task whose end isn't saved is started again

The last task of a draining worker ends. The leader records the worker as empty at once and saves the end up to 60 ms later; it is killed in between. The next leader doesn't wait for that worker, starts the task on another one, and then acknowledges the first end: TWICE.

Run: make daemon BUILD=target; review/build.sh; review/2/run.sh.

--- a/review/stand/fleet.c
+++ b/review/stand/fleet.c
@@ -37,6 +37,8 @@
 #define PAGE_MAX 500 /* ends per answer */
 #define WAIT_MAX_MS 2000
 #define LEASE_BEATS 3
+/* How long a worker stays slow after it has listed its last end. */
+#define SLOW_FOR_MS 4000
 /* One answer in so many is lost at most, and two of five calls are refused. */
 #define ANSWERS_PER_LOSS 40
 #define REFUSED_SHARE 0.4
@@ -45,6 +47,7 @@
 	LIST_ENTRY(run) link;
 	char task[NAME_SIZE];
 	long long attempt;
+	int64_t begun_ms;
 	int64_t ends_ms; /* 0: never by itself */
 	int64_t stops_ms; /* 0: no stop was ordered */
 };
@@ -92,6 +95,9 @@
 	unsigned int lost;
 	unsigned int refused;
 	bool refuse_next;
+	pid_t kill_pid; /* of the leader; 0: nobody is killed */
+	int64_t kill_after_ms;
+	int64_t kill_ms; /* when; 0: not yet */
 };
 
 /* A /hold call whose answer waits. */
@@ -348,6 +354,7 @@
 	run = xcalloc(sizeof(*run));
 	snprintf(run->task, sizeof(run->task), "%s", task);
 	run->attempt = attempt;
+	run->begun_ms = now_ms;
 	if (atoi(spec) > 0)
 		run->ends_ms = now_ms + atoi(spec);
 	LIST_INSERT_HEAD(&w->runs, run, link);
@@ -406,6 +413,40 @@
 	reply(request, 200, clock_body());
 }
 
+/*
+ * The answer lists the last end of a worker that has nothing left to run: the
+ * leader is killed soon after it got this answer, and this worker is slow to
+ * answer the next one.
+ */
+static void
+arm_kill(struct worker *w, int64_t now_ms)
+{
+	if (w->kill_pid == 0 || w->kill_ms != 0 || !LIST_EMPTY(&w->runs) ||
+	    TAILQ_EMPTY(&w->ends))
+		return;
+	w->kill_ms = now_ms + w->kill_after_ms;
+	w->slow_until_ms = now_ms + SLOW_FOR_MS;
+}
+
+static void
+kill_leader(struct worker *w, int64_t now_ms)
+{
+	if (w->kill_pid == 0 || w->kill_ms == 0 || now_ms < w->kill_ms)
+		return;
+	kill(w->kill_pid, SIGKILL);
+	note(w->fleet, "killed the leader pid=%d", (int)w->kill_pid);
+	w->kill_pid = 0;
+}
+
+static int
+percent_of(const struct run *run)
+{
+	if (run->ends_ms == 0)
+		return 100;
+	return (int)(100 * (clock_now_ms() - run->begun_ms) /
+	    (run->ends_ms - run->begun_ms));
+}
+
 static void
 reply_lists(struct worker *w, struct request *request)
 {
@@ -417,7 +458,7 @@
 	LIST_FOREACH (run, &w->runs, link)
 		json_array_append_new(running,
 		    json_pack("[sIsii]", run->task, (json_int_t)run->attempt,
-			"", run->ends_ms == 0 ? 100 : 50, 0));
+			"", percent_of(run), 0));
 	finished = json_array();
 	TAILQ_FOREACH (end, &w->ends, link) {
 		if (json_array_size(finished) == PAGE_MAX)
@@ -430,6 +471,7 @@
 	json_object_set_new(body, "running", running);
 	json_object_set_new(body, "finished", finished);
 	reply(request, 200, body);
+	arm_kill(w, clock_now_ms());
 }
 
 /* Discards the ends that the scheduler has taken note of. */
@@ -531,29 +573,27 @@
 static void
 on_trouble(struct worker *w, struct request *request, const json_t *body)
 {
-	json_int_t grey_ms, slow_for_ms, slow_ms, drain_ms;
+	json_int_t grey_ms, slow_ms, drain_ms, kill_pid, kill_after_ms;
 	int64_t now_ms;
 
-	grey_ms = slow_for_ms = slow_ms = drain_ms = 0;
-	json_unpack((json_t *)body, "{s?I s?I s?I s?I}", "grey_ms", &grey_ms,
-	    "slow_for_ms", &slow_for_ms, "slow_ms", &slow_ms, "drain_ms",
-	    &drain_ms);
+	grey_ms = slow_ms = drain_ms = kill_pid = kill_after_ms = 0;
+	json_unpack((json_t *)body, "{s?I s?I s?I s?I s?I}", "grey_ms",
+	    &grey_ms, "slow_ms", &slow_ms, "drain_ms", &drain_ms, "kill_pid",
+	    &kill_pid, "kill_after_ms", &kill_after_ms);
 	now_ms = clock_now_ms();
 	if (grey_ms > 0)
 		w->grey_until_ms = now_ms + grey_ms;
-	if (slow_ms > 0) {
-		w->slow_until_ms = now_ms + slow_for_ms;
-		w->slow_ms = slow_ms;
-	}
+	w->slow_ms = slow_ms;
+	w->kill_pid = (pid_t)kill_pid;
+	w->kill_after_ms = kill_after_ms;
 	if (drain_ms > 0) {
 		w->draining = true;
 		w->leaves_ms = now_ms + drain_ms;
 		w->beat_ms = 0;
 	}
 	note(w->fleet,
-	    "trouble worker=%s grey_ms=%lld slow_ms=%lld "
-	    "drain_ms=%lld",
-	    w->id, (long long)grey_ms, (long long)slow_ms, (long long)drain_ms);
+	    "trouble worker=%s grey_ms=%lld slow_ms=%lld drain_ms=%lld", w->id,
+	    (long long)grey_ms, (long long)slow_ms, (long long)drain_ms);
 	reply(request, 200, json_object());
 }
 
@@ -775,6 +815,7 @@
 	now_ms = clock_now_ms();
 	LIST_FOREACH (w, &f->workers, link) {
 		worker_step(w, now_ms);
+		kill_leader(w, now_ms);
 		beat(w, now_ms);
 	}
 	answer_waits(f, now_ms);
