--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -14,7 +14,7 @@
 start_entries 3
 
 number=$(leader)
-eval "pid=\${entry_$number:?no leader}"
+eval "leader_pid=\${entry_$number:?no leader}"
 other=$((number % 3 + 1))
 say "the leader is entry $number"
 
@@ -27,11 +27,12 @@
 # was told of the worker's last end.
 more=
 [ "${TROUBLE:-1}" = 0 ] ||
-    more=",\"slow_ms\":50,\"kill_pid\":$pid,\"kill_after_ms\":20"
+    more=",\"slow_ms\":50,\"kill_pid\":$leader_pid,\"kill_after_ms\":20"
 call POST "127.0.0.1:$first_worker" /trouble "{\"drain_ms\":8000$more}" \
     >/dev/null
 if [ "${TROUBLE:-1}" != 0 ]; then
 	sleep 5
+	forget "$leader_pid"
 	start_entry "$number"
 fi
 
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -51,6 +51,17 @@
 	pids="$pids $started"
 }
 
+# A process that was started has ended: its id may be another's by now.
+forget()	# PID
+{
+	wait "$1" 2>/dev/null
+	left=
+	for pid in $pids; do
+		[ "$pid" = "$1" ] || left="$left $pid"
+	done
+	pids=$left
+}
+
 call()	# METHOD ADDRESS PATH [BODY]
 {
 	"$tools/call" "$1" "$2" "$3" "$host" "${4:-}"
