Say in the log from what an expired lease was bounded

Tasks that ran twice after a restart of their worker could follow from a lease bounded by an answer, by the record of workers or by the begin of a term; worker_lapsed told none of them. It names the basis, the lease at the last answer and whether orders for an earlier incarnation were allowed for. Nothing is decided by it.

--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -388,6 +388,15 @@
 	    l->workers.self, &order, on_poll, call_new(l, worker, NULL, 0));
 }
 
+/* What the time follows from at which a lease has expired. */
+static const char *
+lease_basis(const struct sched_worker *worker)
+{
+	if (worker->inc.heard_ms != 0)
+		return "answer";
+	return worker->inc.expires_ms != 0 ? "record" : "term";
+}
+
 static void
 lease_expired(
     struct sched *s, struct sched_worker *worker, size_t nruns, void *ctx)
@@ -397,9 +406,12 @@
 	(void)ctx;
 	now_ms = clock_now_ms();
 	log_info("worker_lapsed",
-	    "worker=%s tasks=%zu silent_ms=%lld listed=%d term_ms=%lld",
+	    "worker=%s tasks=%zu silent_ms=%lld listed=%d term_ms=%lld "
+	    "basis=%s granted_ms=%lld former_orders=%d",
 	    worker->id, nruns, silent_for(worker, now_ms), (int)worker->listed,
-	    (long long)(now_ms - s->opt.taken_ms));
+	    (long long)(now_ms - s->opt.taken_ms), lease_basis(worker),
+	    (long long)(worker->inc.granted_ms - worker->inc.clock_ms),
+	    (int)worker->inc.former_orders);
 }
 
 static const char *
