Wait for the longest lease of a worker that may hold one of a former incarnation

Cause: a lease deadline is a time on one incarnation's clock. An order for the former incarnation that the next one carries out names a time far ahead there, so the worker grants the longest lease that it ever does, 10 s against the 5 s that we ask for.

The record of workers now tells the incarnation whose leases are usual ones, 0 for some seconds after a restart. A leader that is told another start, by the answer or by the list while the worker is silent, waits for the longest lease. So does the leader that sees a restart, whatever was under way. Where no worker restarts nothing waits longer. Rows of an earlier release are read as rows without a start; an earlier release reads these as workers in use, or ignores the start.

The model of workers cut leases by polls to the longest, but not those by starts; it does both now, as the platform's page says.

--- a/core/sched_incarnation.c
+++ b/core/sched_incarnation.c
@@ -95,17 +95,13 @@
 incarnation_replace(
     struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
-	bool former_orders;
-
 	s->counts.restarts++;
 	if (!worker->inc.dead)
 		lose_listed_runs(s, worker, now_ms);
-	former_orders =
-	    worker->poll_deadline_ms != 0 || !TAILQ_EMPTY(&worker->runs);
 	inherit_forget(worker);
 	incarnation_clear(worker);
 	incarnation_init(s, worker);
-	worker->inc.former_orders = former_orders;
+	worker->inc.former_orders = true;
 	worker->next_poll_ms = now_ms;
 	worker_schedule(s, worker);
 	s->place_wanted = true;
--- a/core/sched_lease.c
+++ b/core/sched_lease.c
@@ -32,14 +32,47 @@
  */
 #define LEAVE_COVER_MS 2000
 #define LEAVE_SPARE_MS 800
+/*
+ * An order for a former incarnation reaches the next one at most this long
+ * after the first answer of that one: it is given up on by then.
+ */
+#define FORMER_ORDER_MS 500
+
+/*
+ * The longest lease of an incarnation that may have received an order for a
+ * former one.  Such an order names a time on another clock, so the worker
+ * grants as much as it ever does.
+ */
+static int64_t
+longest_lease_ms(const struct sched *s)
+{
+	if (s->opt.lease_max_ms <= s->opt.lease_ms)
+		return s->opt.lease_ms + FORMER_ORDER_MS;
+	return s->opt.lease_max_ms + FORMER_ORDER_MS;
+}
+
+/*
+ * Whether the incarnation that tells this start (0: none) may have received
+ * orders for a former one.  A former leader may have seen a restart of which
+ * this one knows only that the recorded incarnation is another.
+ */
+static bool
+may_hold_longest_lease(const struct sched_worker *worker, int64_t started_ms)
+{
+	if (worker->inc.former_orders)
+		return true;
+	if (worker->inherited == RECORD_NONE)
+		return false;
+	if (worker->inherited_start_ms == SCHED_START_UNKNOWN)
+		return true;
+	return started_ms != 0 && started_ms != worker->inherited_start_ms;
+}
 
 /*
  * Bounds the leases granted by former leaders at the first answer of a worker.
  * The worker has then seen our term and accepts no renewal from a former
  * leader; before that, one may have renewed by a whole lease.  The worker read
- * its clock no earlier than the poll was sent.  Orders for its former
- * incarnation named times on another clock, so their leases may be as long as
- * the worker allows.
+ * its clock no earlier than the poll was sent.
  */
 static void
 init_granted(
@@ -47,11 +80,12 @@
 {
 	int64_t left_ms;
 
-	left_ms = s->opt.lease_ms;
-	if (worker->inc.former_orders && left_ms < s->opt.lease_max_ms)
-		left_ms = s->opt.lease_max_ms;
-	if (worker->inc.expires_ms != 0)
+	if (may_hold_longest_lease(worker, worker->inc.started_ms))
+		left_ms = longest_lease_ms(s);
+	else if (worker->inc.expires_ms != 0)
 		left_ms = worker->inc.expires_ms - worker->poll_sent_ms;
+	else
+		left_ms = s->opt.lease_ms;
 	if (worker->inc.granted_ms < clock_ms + left_ms)
 		worker->inc.granted_ms = clock_ms + left_ms;
 }
@@ -99,12 +133,18 @@
 	    (int64_t)((double)left * CLOCK_SLOW_FACTOR) + EXPIRY_MARGIN_MS;
 }
 
+/* When leases of this length that former leaders granted have expired. */
+static int64_t
+former_expiry_ms(const struct sched *s, int64_t lease_ms)
+{
+	return s->opt.taken_ms + s->opt.former_ms +
+	    (int64_t)((double)lease_ms * CLOCK_SLOW_FACTOR) + EXPIRY_MARGIN_MS;
+}
+
 int64_t
 lease_former_expiry_ms(const struct sched *s)
 {
-	return s->opt.taken_ms + s->opt.former_ms +
-	    (int64_t)((double)s->opt.lease_ms * CLOCK_SLOW_FACTOR) +
-	    EXPIRY_MARGIN_MS;
+	return former_expiry_ms(s, longest_lease_ms(s));
 }
 
 /*
@@ -114,16 +154,19 @@
  * time the wait would start again with each leader, and the tasks would not be
  * restarted while leaders succeed each other within a lease.  The expiry time
  * in the record is reliable: nobody renews while the record has it, and the
- * record is changed only on condition of the term.
+ * record is changed only on condition of the term.  It is that of the recorded
+ * incarnation; if the list tells another one, only the longest lease bounds.
  */
 int64_t
 lease_expiry_ms(const struct sched *s, const struct sched_worker *worker)
 {
 	if (worker->inc.heard_ms != 0)
 		return worker_deadline_local_ms(worker, worker->inc.granted_ms);
+	if (may_hold_longest_lease(worker, worker->listed_start_ms))
+		return lease_former_expiry_ms(s);
 	if (worker->inc.expires_ms != 0)
 		return worker->inc.expires_ms;
-	return lease_former_expiry_ms(s);
+	return former_expiry_ms(s, s->opt.lease_ms);
 }
 
 int64_t
@@ -225,11 +268,40 @@
 	s->opt.actions->record(s, worker, s->opt.ctx);
 }
 
+/* Leases of the present incarnation are no longer than the usual one. */
+static bool
+holds_usual_lease(
+    const struct sched *s, const struct sched_worker *worker, int64_t now_ms)
+{
+	return worker->inc.granted_ms - worker_clock(worker, now_ms) <=
+	    s->opt.lease_ms;
+}
+
+int64_t
+sched_worker_record_start(
+    const struct sched *s, const struct sched_worker *worker, int64_t now_ms)
+{
+	if (worker->inc.heard_ms == 0) {
+		if (worker->inc.former_orders)
+			return SCHED_START_UNKNOWN;
+		return worker->inherited != RECORD_NONE ?
+		    worker->inherited_start_ms :
+		    worker->listed_start_ms;
+	}
+	if (worker->record_wanted != RECORD_EXPIRING &&
+	    worker->inc.started_ms != 0 &&
+	    !holds_usual_lease(s, worker, now_ms))
+		return SCHED_START_UNKNOWN;
+	return worker->inc.started_ms;
+}
+
 void
-sched_worker_recording(struct sched_worker *worker)
+sched_worker_recording(
+    const struct sched *s, struct sched_worker *worker, int64_t now_ms)
 {
 	worker->record_may |= RECORD_BIT(worker->record_wanted);
 	worker->record_empty = worker_is_empty(worker);
+	worker->record_start_ms = sched_worker_record_start(s, worker, now_ms);
 }
 
 void
@@ -300,4 +372,7 @@
 		worker->record_empty = true;
 		s->opt.actions->record(s, worker, s->opt.ctx);
 	}
+	if (worker->record_start_ms !=
+	    sched_worker_record_start(s, worker, now_ms))
+		s->opt.actions->record(s, worker, s->opt.ctx);
 }
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -403,6 +403,8 @@
 	enum worker_record inherited; /* as earlier leaders recorded it */
 	struct task_name *inherited_tasks; /* recorded too; NULL: any task */
 	size_t ninherited_tasks;
+	int64_t inherited_start_ms; /* started_ms of sched_inherited */
+	int64_t record_start_ms; /* told by the last write of the record */
 	bool draining;
 	bool closed; /* its data centre is closed by operators */
 	int64_t leaves_ms; /* earliest departure while draining; 0: unknown */
@@ -742,7 +744,8 @@
 void sched_worker_unlisted(
     struct sched *, struct sched_worker *, int64_t now_ms);
 /* A write of record_wanted has been sent. */
-void sched_worker_recording(struct sched_worker *);
+void sched_worker_recording(
+    const struct sched *, struct sched_worker *, int64_t now_ms);
 /* The store is known to hold this. */
 void sched_worker_recorded(struct sched_worker *, enum worker_record);
 
@@ -753,7 +756,14 @@
 	bool tasks_known; /* only these may run there */
 	const struct task_name *tasks;
 	size_t ntasks;
+	/*
+	 * Start of the incarnation whose leases the row bounds: by
+	 * lease_left_ms, otherwise by the usual lease.  0: the worker tells
+	 * none; SCHED_START_UNKNOWN: any may hold the longest lease.
+	 */
+	int64_t started_ms;
 };
+#define SCHED_START_UNKNOWN (-1)
 void sched_worker_inherit(
     struct sched_worker *, const struct sched_inherited *, int64_t now_ms);
 /*
@@ -767,6 +777,9 @@
 /* Time until the leases of all runs there have certainly expired, or 0. */
 int64_t sched_worker_lease_left_ms(
     const struct sched *, const struct sched_worker *, int64_t now_ms);
+/* The start to record with record_wanted, as in struct sched_inherited. */
+int64_t sched_worker_record_start(
+    const struct sched *, const struct sched_worker *, int64_t now_ms);
 /* Whether no unknown run of a former term can be there. */
 bool sched_worker_settled(const struct sched_worker *);
 /* Number of runs there that aren't settled. */
--- a/entry/lead_record.c
+++ b/entry/lead_record.c
@@ -14,13 +14,15 @@
  * the leader record: so the store has it as the last acknowledged write left
  * it, and a late write can't overwrite a newer one.
  *
- * A row is [id, address] for a worker in use.  It is [id, address, term, tasks]
- * for a worker on which nothing is started any more, followed by left_ms if its
- * lease isn't renewed either: all leases there have expired left_ms after the
- * write. tasks is null if the leader doesn't know what runs there.  An earlier
- * version of the program knows only rows of the first kind, and starts and
- * renews on any worker; so the other rows are valid only if the last leader
- * wrote them.
+ * A row is [id, address, start] for a worker in use.  It is [id, address, term,
+ * tasks, left_ms, start] for a worker on which nothing is started any more.
+ * left_ms is null while its lease is renewed; otherwise all leases there have
+ * expired left_ms after the write.  tasks is null if the leader doesn't know
+ * what runs there.  start is that of the incarnation whose leases are bounded
+ * so, or 0 if they may be the longest; workers that tell none have rows without
+ * it, and without a null before it.  An earlier version of the program knows
+ * only rows of the first kind, and starts and renews on any worker; so the
+ * other rows are valid only if the last leader wrote them.
  */
 
 #define RETRY_MS 100
@@ -32,6 +34,17 @@
 /* The same for workers that answer and leave only after some seconds. */
 #define REFRESH_DRAINING_MS 1000
 
+enum row_field {
+	ROW_ID,
+	ROW_ADDRESS,
+	ROW_TERM,
+	ROW_IN_USE_START = ROW_TERM,
+	ROW_IN_USE_SIZE,
+	ROW_TASKS = ROW_IN_USE_SIZE,
+	ROW_LEFT_MS,
+	ROW_START
+};
+
 struct record_row {
 	char id[SCHED_WORKER_ID_MAX];
 	enum worker_record record;
@@ -91,8 +104,8 @@
 	char id[SCHED_WORKER_ID_MAX];
 	const char *address;
 
-	address = json_string_value(json_array_get(row, 1));
-	if (!json_to_string(json_array_get(row, 0), id, sizeof(id)) ||
+	address = json_string_value(json_array_get(row, ROW_ADDRESS));
+	if (!json_to_string(json_array_get(row, ROW_ID), id, sizeof(id)) ||
 	    !valid_token(id, sizeof(id)) || address == NULL ||
 	    (address[0] != '\0' &&
 		!valid_token(address, sizeof(worker->address))))
@@ -106,13 +119,55 @@
 	return worker;
 }
 
+static int64_t
+load_row_start(const json_t *field)
+{
+	int64_t started_ms;
+
+	if (field == NULL)
+		return 0;
+	if (!json_to_int64(field, 1, INT64_MAX, &started_ms))
+		return SCHED_START_UNKNOWN;
+	return started_ms;
+}
+
+static json_t *
+encode_row_start(int64_t started_ms)
+{
+	if (started_ms == SCHED_START_UNKNOWN)
+		started_ms = 0;
+	return json_integer((json_int_t)started_ms);
+}
+
+/* Reads what only a row of a worker that isn't in use has. */
+static void
+load_unused(struct lead *l, const json_t *row, struct sched_inherited *from,
+    struct task_name **tasks)
+{
+	const json_t *left;
+	int64_t term, left_ms;
+
+	from->started_ms = load_row_start(json_array_get(row, ROW_START));
+	left = json_array_get(row, ROW_LEFT_MS);
+	if (json_is_null(left))
+		left = NULL;
+	if (!json_to_int64(
+		json_array_get(row, ROW_TERM), 0, INT64_MAX - 1, &term) ||
+	    (uint64_t)term + 1 < l->sched->opt.term ||
+	    !json_to_int64_or(left, 0, INT32_MAX, 0, &left_ms) ||
+	    !load_tasks(json_array_get(row, ROW_TASKS), from, tasks))
+		return;
+	from->record = left != NULL ? RECORD_EXPIRING : RECORD_CLOSED;
+	from->lease_left_ms = left_ms;
+	l->record_dirty = true;
+}
+
 static void
 load_row(struct lead *l, const json_t *row, int64_t now_ms)
 {
 	struct sched_inherited from;
 	struct sched_worker *worker;
 	struct task_name *tasks;
-	int64_t term, left_ms;
 
 	tasks = NULL;
 	if ((worker = load_worker(l, row)) == NULL) {
@@ -121,17 +176,11 @@
 	}
 	memset(&from, 0, sizeof(from));
 	from.record = RECORD_IN_USE;
-	if (json_array_size(row) > 3 &&
-	    json_to_int64(json_array_get(row, 2), 0, INT64_MAX - 1, &term) &&
-	    (uint64_t)term + 1 >= l->sched->opt.term &&
-	    json_to_int64_or(
-		json_array_get(row, 4), 0, INT32_MAX, 0, &left_ms) &&
-	    load_tasks(json_array_get(row, 3), &from, &tasks)) {
-		from.record =
-		    json_array_size(row) > 4 ? RECORD_EXPIRING : RECORD_CLOSED;
-		from.lease_left_ms = left_ms;
-		l->record_dirty = true;
-	}
+	if (json_array_size(row) > ROW_IN_USE_SIZE)
+		load_unused(l, row, &from, &tasks);
+	else
+		from.started_ms =
+		    load_row_start(json_array_get(row, ROW_IN_USE_START));
 	sched_worker_inherit(worker, &from, now_ms);
 	free(tasks);
 }
@@ -215,24 +264,37 @@
 }
 
 static json_t *
-encode_row(struct lead *l, const struct sched_worker *worker, int64_t now_ms)
+encode_left(struct lead *l, const struct sched_worker *worker, int64_t now_ms)
 {
 	int64_t left_ms;
-	json_t *row;
 
-	row = json_pack("[ss]", worker->id, worker->address);
-	if (worker->record_wanted == RECORD_IN_USE)
-		return row;
-	json_array_append_new(
-	    row, json_integer((json_int_t)l->sched->opt.term));
-	json_array_append_new(row, encode_tasks(worker));
-	if (worker->record_wanted == RECORD_CLOSED)
-		return row;
 	left_ms = sched_worker_lease_left_ms(l->sched, worker, now_ms);
 	if (left_ms > 0)
 		request_refresh(l,
 		    worker->inc.misses > 0 ? REFRESH_MS : REFRESH_DRAINING_MS);
-	json_array_append_new(row, json_integer((json_int_t)left_ms));
+	return json_integer((json_int_t)left_ms);
+}
+
+static json_t *
+encode_row(struct lead *l, const struct sched_worker *worker, int64_t now_ms)
+{
+	int64_t started_ms;
+	json_t *row;
+
+	started_ms = sched_worker_record_start(l->sched, worker, now_ms);
+	row = json_pack("[ss]", worker->id, worker->address);
+	if (worker->record_wanted != RECORD_IN_USE) {
+		json_array_append_new(
+		    row, json_integer((json_int_t)l->sched->opt.term));
+		json_array_append_new(row, encode_tasks(worker));
+	}
+	if (worker->record_wanted == RECORD_EXPIRING)
+		json_array_append_new(row, encode_left(l, worker, now_ms));
+	if (started_ms == 0)
+		return row;
+	if (worker->record_wanted == RECORD_CLOSED)
+		json_array_append_new(row, json_null());
+	json_array_append_new(row, encode_row_start(started_ms));
 	return row;
 }
 
@@ -254,7 +316,7 @@
 		row = &write->rows[write->n++];
 		strlcpy(row->id, worker->id, sizeof(row->id));
 		row->record = worker->record_wanted;
-		sched_worker_recording(worker);
+		sched_worker_recording(l->sched, worker, now_ms);
 	}
 	text = json_dumps(list, JSON_COMPACT);
 	json_decref(list);
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -55,6 +55,7 @@
 	bool draining = false;
 	int64_t leaves_ms = 0; // as announced while it drains
 	bool reachable = true;
+	int64_t started_ms = 0; // start that it tells; 0: none
 	int64_t lease = 0; // its end, on the worker's clock
 	uint64_t token = 0;
 	std::map<std::string, Run> runs;
@@ -145,7 +146,7 @@
 		options.data_center = "here";
 		options.power = power;
 		options.link_bytes_per_s = 125e6;
-		options.lease_max_ms = kLeaseMs;
+		options.lease_max_ms = lease_max_ms;
 		options.keep_ms = keep_ms;
 		options.harm_ms = 4000;
 		options.config_apply_ms = 2000;
@@ -410,6 +411,20 @@
 		Put("w/" + id, id);
 	}
 
+	// The worker goes down and is up again under its id, without its runs.
+	// It carries out an order for its former incarnation, whose clock was
+	// ahead, so its lease is the longest that it grants.
+	void
+	RestartUnderItsId(const std::string &id)
+	{
+		workers[id].runs.clear();
+		workers[id].token = 0;
+		workers[id].started_ms++;
+		workers[id].lease =
+		    Worker::Clock(clock_now_ms()) + lease_max_ms;
+		PutEntry(id, workers[id]);
+	}
+
 	// The worker ends without notice, together with its runs.
 	void
 	LoseWorker(const std::string &id)
@@ -823,6 +838,7 @@
 			}
 			result.clock_ms = Worker::Clock(clock_now_ms());
 			list.clock_ms = result.clock_ms;
+			list.started_ms = worker.started_ms;
 			if (term < worker.token)
 				result.answer = ANSWER_FENCED;
 			else {
@@ -1005,6 +1021,7 @@
 			info->written_ms = std::stoll(text.substr(last + 1));
 		strlcpy(info->data_center, worker.data_center.c_str(),
 		    sizeof(info->data_center));
+		info->started_ms = worker.started_ms;
 		info->draining = worker.draining;
 		info->guards_room = worker.guards_room;
 		info->leaves_in_ms =
@@ -1027,6 +1044,7 @@
 		}
 	}
 
+	int64_t lease_max_ms = kLeaseMs; // the longest that workers grant
 	uv_loop_t loop;
 	std::vector<struct node *> nodes; // the first one is the leader
 	std::vector<struct node *> leaving;
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -106,13 +106,14 @@
 	struct sched_worker *
 	Inherit(const char *id, enum worker_record record,
 	    int64_t lease_left_ms = 0,
-	    const std::vector<task_name> *tasks = nullptr)
+	    const std::vector<task_name> *tasks = nullptr,
+	    int64_t started_ms = 0)
 	{
 		struct sched_worker *w = sched_worker_get(s, id);
 		struct sched_inherited from = { record, lease_left_ms,
 			tasks != nullptr,
 			tasks != nullptr ? tasks->data() : nullptr,
-			tasks != nullptr ? tasks->size() : 0 };
+			tasks != nullptr ? tasks->size() : 0, started_ms };
 
 		sched_worker_inherit(w, &from, now);
 		return w;
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -17,6 +17,10 @@
 // After this time starts must respect the new capacity.
 constexpr int64_t kShrinkGraceMs = 4100;
 constexpr int64_t kCrashAfterMs = 10;
+// Bounds of the time from a restart to a cut, and of the cut.
+constexpr int64_t kRecutAfterMinMs = 300, kRecutAfterMaxMs = 3000;
+constexpr int64_t kRecutMinMs = 9000, kRecutMaxMs = 12000;
+constexpr int64_t kLastingMinMs = 6000, kLastingMaxMs = 12000;
 constexpr int64_t kFirstStartMs = 1000000;
 // A copy may be started this long after an end of its task was noted.
 constexpr int64_t kCopySlackMs = 1000;
@@ -315,7 +319,8 @@
 	}
 	for (const auto &[id, row] : recorded_) {
 		struct sched_inherited from = { row.record, row.left_ms,
-			row.tasks_known, row.tasks.data(), row.tasks.size() };
+			row.tasks_known, row.tasks.data(), row.tasks.size(),
+			row.started_ms };
 		if (row.term + 1 < term_)
 			from.record = RECORD_IN_USE;
 		sched_worker_inherit(
@@ -436,11 +441,15 @@
 		else if (worker->runs.count(name) == 0) {
 			CheckStart(*worker, task, size);
 			history_[name].running++;
-			worker->runs[name] = { attempt,
-				now_ms + 100 +
-				    static_cast<int64_t>(random_() % 900),
+			int64_t run_ms =
+			    100 + static_cast<int64_t>(random_() % 900);
+			if (Chance(faults_.lasting))
+				run_ms = std::uniform_int_distribution<int64_t>(
+				    kLastingMinMs, kLastingMaxMs)(random_);
+			worker->runs[name] = { attempt, now_ms + run_ms,
 				Chance(faults_.failing), false, size, 0 };
-			worker->lease_ms = std::max(worker->lease_ms, deadline);
+			worker->lease_ms = std::max(worker->lease_ms,
+			    std::min(deadline, ClockOf(*worker) + kHoldMaxMs));
 			if (name.rfind(kCrasherPrefix, 0) == 0)
 				At(now_ms + kCrashAfterMs,
 				    [this, worker] { Replace(*worker); });
@@ -650,7 +659,8 @@
 {
 	struct Recorded row = { worker->record_wanted,
 		sched_worker_lease_left_ms(leader->sched, worker, now_ms),
-		leader->term, false, {} };
+		leader->term, false, {},
+		sched_worker_record_start(leader->sched, worker, now_ms) };
 
 	row.tasks_known = sched_worker_each_task(
 	    worker,
@@ -678,7 +688,7 @@
 	row = RowOf(leader, worker);
 	lost = Chance(faults_.unsaved);
 	done = !lost || Chance(0.5);
-	sched_worker_recording(worker);
+	sched_worker_recording(leader->sched, worker, now_ms);
 	if (defect_ == Defect::EarlyRecord && row.record == RECORD_IN_USE &&
 	    recorded_.count(id)) {
 		sched_worker_recorded(worker, RECORD_IN_USE);
@@ -848,6 +858,31 @@
 	Replace(*workers_[random_() % workers_.size()]);
 }
 
+// Restarts a worker and makes its next incarnation unreachable soon after; the
+// leader is replaced in between, so that only the former one saw the restart.
+void
+World::Recut()
+{
+	Worker *worker = workers_[random_() % workers_.size()].get();
+
+	if (!worker->alive)
+		return;
+	Replace(*worker);
+	Worker *next = workers_.back().get();
+	int64_t cut_ms = now_ms +
+	    std::uniform_int_distribution<int64_t>(
+		kRecutAfterMinMs, kRecutAfterMaxMs)(random_);
+	At(cut_ms, [next] { next->unreachable_from_term = 0; });
+	At(cut_ms +
+		std::uniform_int_distribution<int64_t>(
+		    kRecutMinMs, kRecutMaxMs)(random_),
+	    [next] { next->unreachable_from_term = UINT64_MAX; });
+	if (Chance(0.7))
+		At(std::uniform_int_distribution<int64_t>(
+		       now_ms, cut_ms + 1000)(random_),
+		    [this] { TakeOver(); });
+}
+
 // Reduces the capacity of a worker for a while.
 void
 World::Shrink()
@@ -960,6 +995,8 @@
 		At(sometime(), [this] { Leave(); });
 	for (int i = 0; i < faults_.crashes; i++)
 		At(sometime(), [this] { Crash(); });
+	for (int i = 0; i < faults_.recuts; i++)
+		At(sometime(), [this] { Recut(); });
 	for (int i = 0; i < faults_.shrinks; i++)
 		At(sometime(), [this] { Shrink(); });
 	for (int i = 0; i < faults_.cancels; i++)
--- a/tests/sched_world.h
+++ b/tests/sched_world.h
@@ -39,6 +39,10 @@
 	int64_t window_ms = 5000;
 	int crashes = 0; // of workers, which come back as a new incarnation
 	bool same_ids = false; // incarnations keep the id and tell their start
+	// Crashes of workers that soon after their restart are unreachable for
+	// longer than the longest lease, a takeover in between.
+	int recuts = 0;
+	double lasting = 0; // share of runs that take seconds
 	int cancels = 0;
 	int crashing_jobs = 0; // jobs that crash their workers
 	bool copies = false; // every other job allows copies
@@ -109,6 +113,7 @@
 	uint64_t term;
 	bool tasks_known;
 	std::vector<struct task_name> tasks;
+	int64_t started_ms;
 };
 
 class World;
@@ -189,6 +194,7 @@
 	void EndRun(Worker &, const std::string &name, enum run_end how);
 	Worker *Find(const std::string &id);
 	void Crash();
+	void Recut();
 	void Shrink();
 	void MakeUnreachable();
 	void Leave();
--- a/tests/test_handover.cc
+++ b/tests/test_handover.cc
@@ -316,6 +316,44 @@
 	EXPECT_EQ(workers["second"].runs.size(), 1u);
 }
 
+// Guards against a task that runs on a restarted worker and is started
+// elsewhere by the next leader, which waits for the usual lease only.
+TEST_F(Handover, ARestartedWorkerMayHoldTheLongestLease)
+{
+	lease_max_ms = 2 * kLeaseMs;
+	workers["first"].started_ms = 1000;
+	RunOnFirst(1);
+	EXPECT_EQ(items["lp/workers"].value, "[[\"first\",\"\",1000]]");
+	RestartUnderItsId("first");
+	Pass(1500);
+	ASSERT_EQ(workers["first"].runs.size(), 1u);
+	EXPECT_EQ(items["lp/workers"].value, "[[\"first\",\"\",0]]");
+	AddWorker("second");
+	Close();
+	Open();
+	Pass(500);
+	workers["first"].reachable = false;
+	Pass(2 * lease_max_ms);
+	EXPECT_EQ(workers["second"].runs.size(), 1u);
+	EXPECT_EQ(duplicate_runs, 0);
+}
+
+// Guards against waits for the longest lease where no worker restarts.
+TEST_F(Handover, AWorkerThatTellsItsRecordedStartHoldsTheUsualLease)
+{
+	lease_max_ms = 2 * kLeaseMs;
+	workers["first"].started_ms = 1000;
+	RunOnFirst(1);
+	AddWorker("second");
+	Pass(1000);
+	Close();
+	workers["first"].reachable = false;
+	Open();
+	Pass(kAbsenceMaxMs);
+	EXPECT_EQ(workers["second"].runs.size(), 1u);
+	EXPECT_EQ(duplicate_runs, 0);
+}
+
 // Callers of a long-running task found nobody for over eight seconds, with a
 // worker free for it.  Its worker announces its departure four seconds ahead,
 // but until then there is no room to move the task to.  The leader is killed
--- a/tests/test_sched.cc
+++ b/tests/test_sched.cc
@@ -283,7 +283,7 @@
 	now += 10;
 	sched_act(s, now);
 	EXPECT_EQ(w->record_wanted, RECORD_IN_USE);
-	sched_worker_recording(w);
+	sched_worker_recording(s, w, now);
 	Add(Graph("a", 1, 1000));
 	Answer(w);
 	now += 1000;
--- a/tests/test_sched_inherit.cc
+++ b/tests/test_sched_inherit.cc
@@ -137,3 +137,125 @@
 	Save();
 	EXPECT_EQ(sched_worker_lease_left_ms(s, worker, now), 0);
 }
+
+// What the record tells of the start of a worker that may restart under its id.
+class SchedInheritStart : public Sched {
+      protected:
+	static constexpr int64_t kStart = 1000, kLater = 2000;
+
+	// The last leader recorded a worker in use with one of its starts; the
+	// list tells another.
+	struct sched_worker *
+	InheritStart(int64_t recorded, int64_t listed)
+	{
+		struct sched_worker *w =
+		    Inherit("w", RECORD_IN_USE, 0, nullptr, recorded);
+
+		if (listed != 0)
+			sched_worker_list_start(s, w, listed, now);
+		return w;
+	}
+
+	// A task of an earlier leader that the worker lists.
+	static poll_running
+	FormerRun()
+	{
+		poll_running row = { {}, 1, "", 100, 0 };
+
+		strlcpy(row.task.job, "job", sizeof(row.task.job));
+		return row;
+	}
+
+	// The worker answers the poll that is due.
+	void
+	AnswerPoll(struct sched_worker *w, int64_t started_ms)
+	{
+		sched_act(s, now);
+		Answer(w, { FormerRun() }, {}, started_ms);
+		ASSERT_EQ(w->inc.heard_ms, now);
+		ASSERT_EQ(w->inc.started_ms, started_ms);
+	}
+
+	void
+	ExpectUsualLease(struct sched_worker *w, int64_t since)
+	{
+		EXPECT_LT(now + sched_worker_lease_left_ms(s, w, now),
+		    since + options.lease_max_ms);
+	}
+
+	void
+	ExpectLongestLease(struct sched_worker *w, int64_t since)
+	{
+		EXPECT_GE(now + sched_worker_lease_left_ms(s, w, now),
+		    since + options.lease_max_ms);
+	}
+};
+
+// Guards against a lease of the recorded incarnation that is taken for that of
+// the one that answers.
+TEST_F(SchedInheritStart, AnAnswerOfAnotherIncarnationAllowsTheLongestLease)
+{
+	for (int64_t recorded :
+	    { kStart, (int64_t)0, (int64_t)SCHED_START_UNKNOWN }) {
+		struct sched_worker *w = InheritStart(recorded, kLater);
+		AnswerPoll(w, kLater);
+		ExpectLongestLease(w, now);
+		TearDown();
+		SetUp();
+	}
+	struct sched_worker *w = InheritStart(kLater, kLater);
+	AnswerPoll(w, kLater);
+	ExpectUsualLease(w, now);
+}
+
+// The same, where the worker is silent and the list tells the restart.
+TEST_F(SchedInheritStart, AListedRestartAllowsTheLongestLease)
+{
+	const int64_t former = options.taken_ms + options.former_ms;
+
+	ExpectLongestLease(InheritStart(kStart, kLater), former);
+	TearDown();
+	SetUp();
+	ExpectLongestLease(InheritStart(SCHED_START_UNKNOWN, 0), former);
+	TearDown();
+	SetUp();
+	ExpectUsualLease(InheritStart(kStart, kStart), former);
+	TearDown();
+	SetUp();
+	ExpectUsualLease(InheritStart(kStart, 0), former);
+}
+
+// Guards against an expiring row of the former incarnation that ends the wait
+// for the next one.
+TEST_F(SchedInheritStart, AnExpiringRowOfAnotherIncarnationBoundsNothing)
+{
+	constexpr int64_t kLeftMs = 300;
+	struct sched_worker *w =
+	    Inherit("w", RECORD_EXPIRING, kLeftMs, nullptr, kStart);
+
+	EXPECT_EQ(sched_worker_lease_left_ms(s, w, now), kLeftMs);
+	sched_worker_list_start(s, w, kLater, now);
+	ExpectLongestLease(w, now);
+	AnswerPoll(w, kLater);
+	ExpectLongestLease(w, now);
+}
+
+// Guards against a record that bounds the lease of a restarted worker by the
+// usual one, and against one that never does so again.
+TEST_F(SchedInheritStart, ARestartIsRecordedUntilItsLeasesAreUsual)
+{
+	struct sched_worker *w = sched_worker_get(s, "w");
+
+	sched_worker_list_start(s, w, kStart, now);
+	AddWorker("w", 8000);
+	EXPECT_EQ(sched_worker_record_start(s, w, now), kStart);
+	AnswerPoll(w, kStart);
+	EXPECT_EQ(sched_worker_record_start(s, w, now), kStart);
+	now += 100;
+	AnswerPoll(w, kLater);
+	EXPECT_EQ(sched_worker_record_start(s, w, now), SCHED_START_UNKNOWN);
+	sched_worker_recording(s, w, now);
+	now += 2 * options.lease_max_ms;
+	AnswerPoll(w, kLater);
+	EXPECT_EQ(sched_worker_record_start(s, w, now), kLater);
+}
--- a/tests/test_sched_model.cc
+++ b/tests/test_sched_model.cc
@@ -231,6 +231,20 @@
 	ExpectNoViolations(faults);
 }
 
+// Guards against a lease by the clock of a former incarnation that outlasts the
+// time after which the next leader starts the tasks elsewhere.
+TEST(SchedModel, RestartedWorkersAreCutOffWhileLeadersChange)
+{
+	Faults faults;
+
+	faults.recuts = 4;
+	faults.lasting = 0.2;
+	faults.same_ids = true;
+	faults.slow_clocks = true;
+	faults.window_ms = 20000;
+	ExpectNoViolations(faults);
+}
+
 TEST(SchedModel, RoomsThatShrink)
 {
 	Faults faults;
