Split entry/members.c by job

members.c (806 lines, now 329) keeps the list of the other entries, the connections to them, sending and the dispatch by type. Heartbeats and hello messages, with the encoding of the member list, move to members_heartbeat.c (339); vote requests, votes, resignations and the callbacks of the election to members_vote.c (160). members_int.h has what they share; node_int.h lists its declarations by these files.

Functions move unchanged. Ten lose "static" and get the prefix, as they are shared: get_text, get_integer, free_members, add_or_update_member, remove_silent_members, and the handlers on_hello, on_heartbeat, on_vote_request, on_resign and on_vote. A needless forward declaration of send_heartbeats is dropped.

The process tests were not run. x86_64.

--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -175,9 +175,8 @@
 	int64_t outranked_ms; /* another member should lead since; 0: none */
 };
 
-/* members.c: messages between entries */
+/* members.c: the other entries and the connections to them */
 enum node_error members_open(struct node *);
-void members_tick(struct node *, int64_t now_ms);
 void members_close(struct node *);
 /* Takes ownership of the message; false: certainly not sent. */
 bool members_send(struct node *, const char *id, json_t *message);
@@ -188,10 +187,15 @@
 bool members_any_could_lead(const struct node *, int64_t now_ms);
 /* A much stronger member exists that could lead. */
 bool members_stronger(const struct node *, int64_t now_ms);
+struct member *member_get(struct node *, const char *id);
+
+/* members_heartbeat.c: heartbeats and hello messages */
+void members_tick(struct node *, int64_t now_ms);
+
+/* members_vote.c: the election between entries */
 /* Tells the members that we no longer lead: one of them takes over at once. */
 void members_resign(struct node *, bool exclusive);
 extern const struct elect_actions node_elect_actions;
-struct member *member_get(struct node *, const char *id);
 
 /* leader_request.c: requests to the leader */
 void leader_requests_tick(struct node *, int64_t now_ms);
