--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -2,6 +2,8 @@
 # and the entries with their settings files, and check the invariants.
 #
 # Sourced after lib.sh.  Shell variables starting with p_ are private.
+# entry_limits and config_limits: further fields of "limits" in the settings
+# files and in the configuration.
 
 host=jobs.example
 prefix=/q/
@@ -50,7 +52,8 @@
 		    "$p_route" "$host" "$p_route")
 	done
 	p_config=$(printf '{"version":%s,"routes":[%s],
-	    "services":[{"name":"custodio"}]}' "$p_version" "$p_routes" |
+	    "services":[{"name":"custodio"}]%s}' "$p_version" "$p_routes" \
+	    "${config_limits:+,\"limits\":{$config_limits\}}" |
 	    base64 -w0)
 	get -f -o /dev/null -H 'X-Platform-Writer: 1' -d \
 	    "{\"writes\":[{\"key\":\"op/config\",\"value\":\"$p_config\"}]}" \
@@ -193,7 +196,7 @@
 	 "listen":{"front":"127.0.0.1:$p_port",
 	  "ready_addr":"127.0.0.1:$((p_port + 1))"},
 	 "internal_ports":[$((p_port + 2)),$((p_port + 2))],
-	 "limits":{"cpu_share":0.5,"link_mbps":200},
+	 "limits":{"cpu_share":0.5,"link_mbps":200${entry_limits:+,$entry_limits}},
 	 "bounds":{"max_hold_ms":6000,"grace_s":${grace_s:-6},"status_s":120,
 	  "evacuate_ms":${closure_ms:-0},"max_stretch_ms":${stretch_ms:-0}},
 	 "platform":{"address":"$(eval "echo \${entry_$1_store:-$store}")"}}
