Bound what all clients together can make the HTTP server hold

In a trial of the users clients outside the limits ended a process: it ran out of memory. Each request was bounded, by 4 MiB of body and 408 KiB of head whatever the operators' limits said; their sum and the number of connections were not.

Bodies over the limit get 413 before they are received, heads 431. A request on a refused connection isn't handled, so that the refusal is true. Callers on the platform speak HTTP/1.1 only.

--- a/lagoonpind/lagoonpind.h
+++ b/lagoonpind/lagoonpind.h
@@ -49,6 +49,8 @@
 	int log_level;
 	int64_t tick_ms;
 	int64_t body_max_bytes;
+	int64_t receive_max_bytes; /* buffered for all callers */
+	int64_t connections_max; /* of callers */
 	int64_t vm_list_ms; /* interval between reads of the VM list */
 	/* How long a VM must be absent from the list to count as gone. */
 	int64_t vm_gone_ms;
--- a/lagoonpind/main.c
+++ b/lagoonpind/main.c
@@ -16,6 +16,7 @@
  * Bodies that exceed the limit of a record or a call by at most this much
  * are read and refused with a specific error; h2o refuses larger ones.
  */
+#define HEAD_MAX_BYTES (64 * 1024)
 #define BODY_SLACK_BYTES (256 << 10)
 /*
  * By default libcurl keeps four idle connections for each call in flight: an
@@ -131,6 +132,9 @@
 		.ip = e->opt.listen.ip,
 		.port = e->opt.listen.port,
 		.body_max = (size_t)e->opt.body_max_bytes + BODY_SLACK_BYTES,
+		.head_max = HEAD_MAX_BYTES,
+		.receive_max = (size_t)e->opt.receive_max_bytes,
+		.connections_max = (size_t)e->opt.connections_max,
 		.handler = on_http,
 		.ctx = e,
 	};
--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -9,12 +9,6 @@
 #define ANY_PORT 65535 /* h2o's value for any port */
 #define URI_PATH_ROOT "/"
 
-struct httpd_connection {
-	uv_tcp_t tcp; /* must be first: on_connection_closed() casts */
-	struct httpd *httpd;
-	LIST_ENTRY(httpd_connection) link;
-};
-
 static void on_connection(uv_stream_t *, int);
 static void on_connection_closed(uv_handle_t *);
 static void on_listener_closed(uv_handle_t *);
@@ -34,6 +28,8 @@
 
 	h2o_config_init(&h->config);
 	h->config.max_request_entity_size = options->body_max;
+	if (options->http1_only)
+		h->config.http1.upgrade_to_http2 = 0;
 	host = h2o_config_register_host(
 	    &h->config, h2o_iovec_init(H2O_STRLIT("default")), ANY_PORT);
 	path = h2o_config_register_path(host, URI_PATH_ROOT, 0);
@@ -68,23 +64,34 @@
 	h->loop = options->loop;
 	h->handler = options->handler;
 	h->ctx = options->ctx;
-	LIST_INIT(&h->connections);
+	TAILQ_INIT(&h->connections);
 	LIST_INIT(&h->watched);
 	set_up_h2o(h, options);
+	httpd_limit_init(h, options);
 	uv_timer_init(h->loop, &h->closer);
 	h->closer.data = h;
 	uv_tcp_init(h->loop, &h->listener);
 	h->listener.data = h;
 	h->listening = true;
-	if (uv_tcp_bind(&h->listener, (struct sockaddr *)&address, 0) != 0 ||
-	    uv_listen((uv_stream_t *)&h->listener, BACKLOG, on_connection) !=
-		0) {
-		*error = HTTPD_ERR_LISTEN;
-		httpd_close(h);
-		return NULL;
-	}
+	if (uv_tcp_bind(&h->listener, (struct sockaddr *)&address, 0) != 0)
+		goto fail;
+	httpd_limit_listener(h);
+	if (uv_listen((uv_stream_t *)&h->listener, BACKLOG, on_connection) != 0)
+		goto fail;
 	*error = HTTPD_OK;
 	return h;
+
+fail:
+	*error = HTTPD_ERR_LISTEN;
+	httpd_close(h);
+	return NULL;
+}
+
+void
+httpd_set_request_max(struct httpd *h, size_t head_max, size_t body_max)
+{
+	h->head_max = head_max;
+	h->config.max_request_entity_size = body_max;
 }
 
 int
@@ -127,7 +134,7 @@
 	 * h2o owns its connections and has no call to close them.  Shutting
 	 * down the sockets makes reads fail, so that h2o closes them.
 	 */
-	LIST_FOREACH (c, &h->connections, link) {
+	TAILQ_FOREACH (c, &h->connections, link) {
 		if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
 			shutdown(fd, SHUT_RDWR);
 	}
@@ -147,11 +154,12 @@
 static void
 dispose_when_idle(struct httpd *h)
 {
-	if (!h->closing || h->disposed || !LIST_EMPTY(&h->connections))
+	if (!h->closing || h->disposed || !TAILQ_EMPTY(&h->connections))
 		return;
 	if (!uv_is_closing((uv_handle_t *)&h->listener))
 		return;
 	h->disposed = true;
+	uv_close((uv_handle_t *)&h->check, NULL);
 	uv_close((uv_handle_t *)&h->closer, on_closer_step1);
 }
 
@@ -216,25 +224,34 @@
 on_connection(uv_stream_t *listener, int status)
 {
 	struct httpd_connection *c;
-	h2o_socket_t *sock;
 	struct httpd *h;
+	bool admitted;
 
 	if (status != 0)
 		return;
 	h = listener->data;
-	if ((c = calloc(1, sizeof(*c))) == NULL)
+	/* libuv accepts no other connection until this one is taken. */
+	h->accept_waits = !httpd_limit_may_accept(h);
+	if (h->accept_waits)
 		return;
+	if ((c = calloc(1, sizeof(*c))) == NULL) {
+		h->accept_waits = true;
+		return;
+	}
+	admitted = httpd_limit_admit(h);
 	c->httpd = h;
 	uv_tcp_init(h->loop, &c->tcp);
-	LIST_INSERT_HEAD(&h->connections, c, link);
-	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
+	TAILQ_INSERT_TAIL(&h->connections, c, link);
+	h->nconnections++;
+	h->nopen++;
+	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0 || !admitted) {
 		uv_close((uv_handle_t *)&c->tcp, on_connection_closed);
 		return;
 	}
 	uv_tcp_nodelay(&c->tcp, 1);
-	sock =
+	c->sock =
 	    h2o_uv_socket_create((uv_stream_t *)&c->tcp, on_connection_closed);
-	h2o_accept(&h->accept_ctx, sock);
+	h2o_accept(&h->accept_ctx, c->sock);
 }
 
 static void
@@ -245,7 +262,12 @@
 
 	c = (struct httpd_connection *)handle;
 	h = c->httpd;
-	LIST_REMOVE(c, link);
+	TAILQ_REMOVE(&h->connections, c, link);
+	h->nconnections--;
+	if (!c->refused)
+		h->nopen--;
 	free(c);
+	if (h->accept_waits && h->listening)
+		on_connection((uv_stream_t *)&h->listener, 0);
 	dispose_when_idle(h);
 }
--- a/lib/httpd.h
+++ b/lib/httpd.h
@@ -1,6 +1,7 @@
 #ifndef HTTPD_H
 #define HTTPD_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -35,6 +36,17 @@
 	const char *ip; /* IPv4 address */
 	int port; /* 0: any free port */
 	size_t body_max; /* bytes; larger bodies are refused with 413 */
+	/* Limits of what clients may use; 0: none. */
+	size_t head_max; /* bytes; larger heads are refused with 431 */
+	/*
+	 * Bytes buffered for the requests of all clients.  Beyond it the
+	 * connections that hold most are closed; requests with large bodies are
+	 * refused with 503 from half of it on.
+	 */
+	size_t receive_max;
+	/* Beyond it the connection that was idle for longest is closed. */
+	size_t connections_max;
+	bool http1_only;
 	httpd_handler *handler;
 	void *ctx;
 };
@@ -48,6 +60,9 @@
 struct httpd *httpd_open(const struct httpd_options *, enum httpd_error *error);
 int httpd_port(const struct httpd *);
 
+/* Change the limits of requests whose heads arrive from now on. */
+void httpd_set_request_max(struct httpd *, size_t head_max, size_t body_max);
+
 /* Stop accepting connections; requests in flight continue. */
 void httpd_stop_listening(struct httpd *);
 
--- a/lib/httpd_request.c
+++ b/lib/httpd_request.c
@@ -1,17 +1,21 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "counter.h"
 #include "httpd_int.h"
 
 #define HTTP_VERSION_2 0x200
 #define STATUS_CLIENT_CLOSED 499
 #define STATUS_BAD_GATEWAY 502
+#define STATUS_UNAVAILABLE 503
+#define STATUS_HEAD_TOO_LARGE 431
 
 enum response_state { RESPONSE_NONE, RESPONSE_STREAMING, RESPONSE_COMPLETE };
 
 struct httpd_request {
 	h2o_generator_t generator; /* must be first: h2o callbacks cast */
 	h2o_req_t *req;
+	struct httpd_connection *connection;
 	LIST_ENTRY(httpd_request) link; /* while watched */
 	bool watched;
 	enum response_state state;
@@ -39,6 +43,71 @@
 static void send_queued(struct httpd_request *);
 static const char *reason_phrase(int);
 
+static struct httpd_connection *
+find_connection(struct httpd *h, h2o_req_t *req)
+{
+	struct httpd_connection *c;
+	h2o_socket_t *sock;
+
+	sock = req->conn->callbacks->get_socket(req->conn);
+	TAILQ_FOREACH_REVERSE(c, &h->connections, httpd_connections, link)
+	{
+		if (c->sock == sock)
+			return c;
+	}
+	return NULL;
+}
+
+/* What the request holds counts as in use until it is disposed of. */
+static void
+begin_handling(struct httpd *h, struct httpd_request *r)
+{
+	r->connection = find_connection(h, r->req);
+	if (r->connection != NULL)
+		r->connection->nrequests++;
+}
+
+static void
+end_handling(struct httpd_request *r)
+{
+	struct httpd_connection *c;
+	struct httpd *h;
+
+	if ((c = r->connection) == NULL)
+		return;
+	h = c->httpd;
+	c->nrequests--;
+	c->head_complete = false;
+	TAILQ_REMOVE(&h->connections, c, link);
+	TAILQ_INSERT_TAIL(&h->connections, c, link);
+}
+
+/* Returns false if the request may be passed to the handler. */
+static bool
+refuse_over_limit(struct httpd_request *r)
+{
+	static const struct httpd_header retry = { "retry-after", "1" };
+
+	if (r->connection == NULL)
+		return false;
+	/* The client was told that it doesn't run, or sees a reset. */
+	if (r->connection->refused) {
+		httpd_reply(r, STATUS_UNAVAILABLE, &retry, 1, NULL, 0);
+		return true;
+	}
+	if (httpd_limit_head_exceeded(r->connection)) {
+		counter_inc_reason("lagoonpin_http_refused", "head_too_large");
+		httpd_reply(r, STATUS_HEAD_TOO_LARGE, NULL, 0, NULL, 0);
+		return true;
+	}
+	if (!httpd_limit_may_handle(r->connection, r->req->entity.len)) {
+		counter_inc_reason("lagoonpin_http_refused", "memory");
+		httpd_reply(r, STATUS_UNAVAILABLE, &retry, 1, NULL, 0);
+		return true;
+	}
+	return false;
+}
+
 int
 httpd_on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
@@ -57,8 +126,10 @@
 	r->req = req;
 	r->generator.proceed = on_proceed;
 	r->generator.stop = on_stop;
+	begin_handling(h, r);
 	watch_client(r);
-	h->handler(r, h->ctx);
+	if (!refuse_over_limit(r))
+		h->handler(r, h->ctx);
 	return 0;
 }
 
@@ -372,6 +443,7 @@
 		LIST_REMOVE(r, link);
 	}
 	notify_disconnect(r);
+	end_handling(r);
 	free(r->queued);
 	free(r->in_flight);
 }
