Count the longest lease in five more orders of a restart and a takeover

An expiring row of a leader that never heard the worker bounds all incarnations, and says so (-1). A leader that heard the former incarnation counts from when the list told the next one. 2.5 s are allowed for an order that comes late, not 0.5. The start in an expiring row of the term before the last bounds nothing. What the list tells is in the row of an unheard worker, and nothing starts on a restarted worker before the store has its row.

The tests' fixture now notes a write of the record before its acknowledgement, as the entry does.

--- a/core/sched_incarnation.c
+++ b/core/sched_incarnation.c
@@ -115,13 +115,13 @@
 		incarnation_replace(s, worker, now_ms);
 	worker->inc.started_ms = started_ms;
 	if (worker->poll_guarded)
-		worker->inc.doubted = false;
+		worker->inc.doubted_ms = 0;
 }
 
 bool
 incarnation_is_proven(const struct sched_worker *worker)
 {
-	return worker->inc.misses == 0 && !worker->inc.doubted;
+	return worker->inc.misses == 0 && worker->inc.doubted_ms == 0;
 }
 
 bool
@@ -142,7 +142,7 @@
 	if (worker->inc.dead)
 		incarnation_replace(s, worker, now_ms);
 	else if (worker->inc.started_ms != started_ms) {
-		worker->inc.doubted = true;
+		worker->inc.doubted_ms = now_ms;
 		worker->next_poll_ms = now_ms;
 		worker_schedule(s, worker);
 	}
--- a/core/sched_inherit.c
+++ b/core/sched_inherit.c
@@ -24,6 +24,7 @@
 	worker->inherited = from->record;
 	worker->inherited_start_ms = from->started_ms;
 	worker->record_start_ms = from->started_ms;
+	worker->stored_start_ms = from->started_ms;
 	worker->record_may = RECORD_BIT(from->record);
 	worker->record_wanted = from->record;
 	if (from->record == RECORD_EXPIRING)
--- a/core/sched_lease.c
+++ b/core/sched_lease.c
@@ -33,10 +33,10 @@
 #define LEAVE_COVER_MS 2000
 #define LEAVE_SPARE_MS 800
 /*
- * An order for a former incarnation reaches the next one at most this long
- * after the first answer of that one: it is given up on by then.
+ * A call without an answer may be carried out this long after the next
+ * incarnation first answers, or after the list first tells it.
  */
-#define FORMER_ORDER_MS 500
+#define FORMER_ORDER_MS 2500
 
 /*
  * The longest lease of an incarnation that may have received an order for a
@@ -46,9 +46,8 @@
 static int64_t
 longest_lease_ms(const struct sched *s)
 {
-	if (s->opt.lease_max_ms <= s->opt.lease_ms)
-		return s->opt.lease_ms + FORMER_ORDER_MS;
-	return s->opt.lease_max_ms + FORMER_ORDER_MS;
+	return s->opt.lease_max_ms > s->opt.lease_ms ? s->opt.lease_max_ms :
+						       s->opt.lease_ms;
 }
 
 /*
@@ -65,9 +64,19 @@
 		return false;
 	if (worker->inherited_start_ms == SCHED_START_UNKNOWN)
 		return true;
+	if (worker->inherited_start_ms == SCHED_START_ANY)
+		return false;
 	return started_ms != 0 && started_ms != worker->inherited_start_ms;
 }
 
+bool
+sched_worker_may_hold_longest_lease(const struct sched_worker *worker)
+{
+	if (worker->inc.heard_ms != 0)
+		return worker->inc.former_orders || worker->inc.doubted_ms != 0;
+	return may_hold_longest_lease(worker, worker->listed_start_ms);
+}
+
 /*
  * Bounds the leases granted by former leaders at the first answer of a worker.
  * The worker has then seen our term and accepts no renewal from a former
@@ -81,7 +90,7 @@
 	int64_t left_ms;
 
 	if (may_hold_longest_lease(worker, worker->inc.started_ms))
-		left_ms = longest_lease_ms(s);
+		left_ms = longest_lease_ms(s) + FORMER_ORDER_MS;
 	else if (worker->inc.expires_ms != 0)
 		left_ms = worker->inc.expires_ms - worker->poll_sent_ms;
 	else
@@ -133,12 +142,19 @@
 	    (int64_t)((double)left * CLOCK_SLOW_FACTOR) + EXPIRY_MARGIN_MS;
 }
 
-/* When leases of this length that former leaders granted have expired. */
+/* When a lease of this length on the worker's clock has surely expired. */
+static int64_t
+expiry_after_ms(int64_t from_ms, int64_t lease_ms)
+{
+	return from_ms + (int64_t)((double)lease_ms * CLOCK_SLOW_FACTOR) +
+	    EXPIRY_MARGIN_MS;
+}
+
+/* The same of the leases that former leaders granted. */
 static int64_t
 former_expiry_ms(const struct sched *s, int64_t lease_ms)
 {
-	return s->opt.taken_ms + s->opt.former_ms +
-	    (int64_t)((double)lease_ms * CLOCK_SLOW_FACTOR) + EXPIRY_MARGIN_MS;
+	return expiry_after_ms(s->opt.taken_ms + s->opt.former_ms, lease_ms);
 }
 
 int64_t
@@ -147,6 +163,23 @@
 	return former_expiry_ms(s, longest_lease_ms(s));
 }
 
+/*
+ * The list may tell a restart that no answer has told: nothing was sent to the
+ * former incarnation since, but an order from before may have reached the next.
+ */
+static int64_t
+heard_expiry_ms(const struct sched *s, const struct sched_worker *worker)
+{
+	int64_t expiry_ms, next_ms;
+
+	expiry_ms = worker_deadline_local_ms(worker, worker->inc.granted_ms);
+	if (worker->inc.doubted_ms == 0)
+		return expiry_ms;
+	next_ms = expiry_after_ms(
+	    worker->inc.doubted_ms + FORMER_ORDER_MS, longest_lease_ms(s));
+	return next_ms > expiry_ms ? next_ms : expiry_ms;
+}
+
 /*
  * When all leases on the worker have surely expired.  A former leader may have
  * renewed those of a worker that has not answered this leader, until former_ms
@@ -161,9 +194,9 @@
 lease_expiry_ms(const struct sched *s, const struct sched_worker *worker)
 {
 	if (worker->inc.heard_ms != 0)
-		return worker_deadline_local_ms(worker, worker->inc.granted_ms);
+		return heard_expiry_ms(s, worker);
 	if (may_hold_longest_lease(worker, worker->listed_start_ms))
-		return lease_former_expiry_ms(s);
+		return lease_former_expiry_ms(s) + FORMER_ORDER_MS;
 	if (worker->inc.expires_ms != 0)
 		return worker->inc.expires_ms;
 	return former_expiry_ms(s, s->opt.lease_ms);
@@ -273,21 +306,39 @@
 holds_usual_lease(
     const struct sched *s, const struct sched_worker *worker, int64_t now_ms)
 {
-	return worker->inc.granted_ms - worker_clock(worker, now_ms) <=
+	return s->opt.lease_max_ms <= s->opt.lease_ms ||
+	    worker->inc.granted_ms - worker_clock(worker, now_ms) <=
 	    s->opt.lease_ms;
 }
 
+/* The start to record of a worker that has not answered this leader. */
+static int64_t
+unheard_record_start(const struct sched_worker *worker)
+{
+	if (worker->inherited == RECORD_NONE)
+		return worker->listed_start_ms;
+	if (worker->inherited_start_ms == SCHED_START_ANY)
+		return worker->record_wanted == RECORD_EXPIRING ?
+		    SCHED_START_ANY :
+		    SCHED_START_UNKNOWN;
+	return worker->inherited_start_ms;
+}
+
 int64_t
 sched_worker_record_start(
     const struct sched *s, const struct sched_worker *worker, int64_t now_ms)
 {
-	if (worker->inc.heard_ms == 0) {
-		if (worker->inc.former_orders)
-			return SCHED_START_UNKNOWN;
-		return worker->inherited != RECORD_NONE ?
-		    worker->inherited_start_ms :
-		    worker->listed_start_ms;
-	}
+	/*
+	 * The wait for the longest lease covers each incarnation.  Otherwise it
+	 * would start again with each leader.
+	 */
+	if (sched_worker_may_hold_longest_lease(worker) &&
+	    (worker->inc.heard_ms == 0 || worker->inc.doubted_ms != 0))
+		return worker->record_wanted == RECORD_EXPIRING ?
+		    SCHED_START_ANY :
+		    SCHED_START_UNKNOWN;
+	if (worker->inc.heard_ms == 0)
+		return unheard_record_start(worker);
 	if (worker->record_wanted != RECORD_EXPIRING &&
 	    worker->inc.started_ms != 0 &&
 	    !holds_usual_lease(s, worker, now_ms))
@@ -308,6 +359,7 @@
 sched_worker_recorded(struct sched_worker *worker, enum worker_record record)
 {
 	worker->record_may = RECORD_BIT(record);
+	worker->stored_start_ms = worker->record_start_ms;
 }
 
 bool
--- a/core/sched_startable.c
+++ b/core/sched_startable.c
@@ -4,11 +4,19 @@
 
 /* Whether tasks may be started on a worker, and why not. */
 
+/* A next leader counts no shorter lease than this incarnation may hold. */
+static bool
+is_start_recorded(const struct sched_worker *worker)
+{
+	return worker->stored_start_ms == worker->inc.started_ms ||
+	    worker->stored_start_ms == SCHED_START_UNKNOWN;
+}
+
 static bool
 is_recorded(const struct sched_worker *worker)
 {
 	return worker->record_may == RECORD_BIT(RECORD_IN_USE) &&
-	    worker->record_wanted == RECORD_IN_USE;
+	    worker->record_wanted == RECORD_IN_USE && is_start_recorded(worker);
 }
 
 /* All that runs there is known. */
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -339,7 +339,7 @@
 	bool dead; /* certainly over */
 	bool lapsed; /* silent, and the leases of all runs have expired */
 	bool leaving; /* its entry says that it drains */
-	bool doubted; /* the list of workers tells another start */
+	int64_t doubted_ms; /* since then the list tells another start; 0: no */
 	bool former_orders; /* may hold leases meant for the former one */
 	struct sched_strays strays; /* of the last poll */
 	uint32_t unneeded; /* strays that aren't needed */
@@ -405,6 +405,7 @@
 	size_t ninherited_tasks;
 	int64_t inherited_start_ms; /* started_ms of sched_inherited */
 	int64_t record_start_ms; /* told by the last write of the record */
+	int64_t stored_start_ms; /* the store is known to hold it */
 	bool draining;
 	bool closed; /* its data centre is closed by operators */
 	int64_t leaves_ms; /* earliest departure while draining; 0: unknown */
@@ -759,11 +760,14 @@
 	/*
 	 * Start of the incarnation whose leases the row bounds: by
 	 * lease_left_ms, otherwise by the usual lease.  0: the worker tells
-	 * none; SCHED_START_UNKNOWN: any may hold the longest lease.
+	 * none.
 	 */
 	int64_t started_ms;
 };
+/* Any incarnation may hold the longest lease. */
 #define SCHED_START_UNKNOWN (-1)
+/* lease_left_ms bounds the leases of all incarnations. */
+#define SCHED_START_ANY (-2)
 void sched_worker_inherit(
     struct sched_worker *, const struct sched_inherited *, int64_t now_ms);
 /*
@@ -777,6 +781,8 @@
 /* Time until the leases of all runs there have certainly expired, or 0. */
 int64_t sched_worker_lease_left_ms(
     const struct sched *, const struct sched_worker *, int64_t now_ms);
+/* No usual lease is counted: another incarnation may have taken orders. */
+bool sched_worker_may_hold_longest_lease(const struct sched_worker *);
 /* The start to record with record_wanted, as in struct sched_inherited. */
 int64_t sched_worker_record_start(
     const struct sched *, const struct sched_worker *, int64_t now_ms);
--- a/entry/lead_calls.c
+++ b/entry/lead_calls.c
@@ -392,6 +392,8 @@
 static const char *
 lease_basis(const struct sched_worker *worker)
 {
+	if (sched_worker_may_hold_longest_lease(worker))
+		return "restart";
 	if (worker->inc.heard_ms != 0)
 		return "answer";
 	return worker->inc.expires_ms != 0 ? "record" : "term";
--- a/entry/lead_record.c
+++ b/entry/lead_record.c
@@ -19,10 +19,11 @@
  * left_ms is null while its lease is renewed; otherwise all leases there have
  * expired left_ms after the write.  tasks is null if the leader doesn't know
  * what runs there.  start is that of the incarnation whose leases are bounded
- * so, or 0 if they may be the longest; workers that tell none have rows without
- * it, and without a null before it.  An earlier version of the program knows
- * only rows of the first kind, and starts and renews on any worker; so the
- * other rows are valid only if the last leader wrote them.
+ * so, 0 if they may be the longest, or -1 if left_ms bounds all of them;
+ * workers that tell none have rows without it, and without a null before it. An
+ * earlier version of the program knows only rows of the first kind, and starts
+ * and renews on any worker; so the other rows are valid only if the last leader
+ * wrote them.
  */
 
 #define RETRY_MS 100
@@ -34,6 +35,10 @@
 /* The same for workers that answer and leave only after some seconds. */
 #define REFRESH_DRAINING_MS 1000
 
+/* In place of a start. */
+#define ROW_START_UNKNOWN 0
+#define ROW_START_ANY (-1)
+
 enum row_field {
 	ROW_ID,
 	ROW_ADDRESS,
@@ -126,16 +131,19 @@
 
 	if (field == NULL)
 		return 0;
-	if (!json_to_int64(field, 1, INT64_MAX, &started_ms))
+	if (!json_to_int64(field, ROW_START_ANY, INT64_MAX, &started_ms) ||
+	    started_ms == ROW_START_UNKNOWN)
 		return SCHED_START_UNKNOWN;
-	return started_ms;
+	return started_ms == ROW_START_ANY ? SCHED_START_ANY : started_ms;
 }
 
 static json_t *
 encode_row_start(int64_t started_ms)
 {
 	if (started_ms == SCHED_START_UNKNOWN)
-		started_ms = 0;
+		started_ms = ROW_START_UNKNOWN;
+	if (started_ms == SCHED_START_ANY)
+		started_ms = ROW_START_ANY;
 	return json_integer((json_int_t)started_ms);
 }
 
@@ -145,9 +153,11 @@
     struct task_name **tasks)
 {
 	const json_t *left;
-	int64_t term, left_ms;
+	int64_t started_ms, term, left_ms;
 
-	from->started_ms = load_row_start(json_array_get(row, ROW_START));
+	/* Unless the row is valid, its start bounds nothing. */
+	started_ms = load_row_start(json_array_get(row, ROW_START));
+	from->started_ms = started_ms == 0 ? 0 : SCHED_START_UNKNOWN;
 	left = json_array_get(row, ROW_LEFT_MS);
 	if (json_is_null(left))
 		left = NULL;
@@ -158,6 +168,7 @@
 	    !load_tasks(json_array_get(row, ROW_TASKS), from, tasks))
 		return;
 	from->record = left != NULL ? RECORD_EXPIRING : RECORD_CLOSED;
+	from->started_ms = started_ms;
 	from->lease_left_ms = left_ms;
 	l->record_dirty = true;
 }
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -254,10 +254,12 @@
 		Self(ctx)->renewed = deadline;
 	}
 	static void
-	OnRecord(struct sched *, struct sched_worker *w, void *ctx)
+	OnRecord(struct sched *sched, struct sched_worker *w, void *ctx)
 	{
-		if (!Self(ctx)->store_slow)
-			sched_worker_recorded(w, w->record_wanted);
+		if (Self(ctx)->store_slow)
+			return;
+		sched_worker_recording(sched, w, Self(ctx)->now);
+		sched_worker_recorded(w, w->record_wanted);
 	}
 	static void
 	OnUnknown(struct sched *, const char *job, void *ctx)
--- a/tests/test_handover.cc
+++ b/tests/test_handover.cc
@@ -489,3 +489,112 @@
 	    std::string::npos)
 	    << items["lp/p/job"].value;
 }
+
+// Guards against an expiring row of a term before the last that is read as one
+// of a worker in use with the usual lease: its start tells only that left_ms
+// bounds the lease.  A leader between the two ended before it wrote the record.
+TEST_F(Handover, AnExpiringRowOfAnEarlierTermAllowsTheLongestLease)
+{
+	lease_max_ms = 2 * kLeaseMs;
+	workers["first"].started_ms = 1000;
+	RunOnFirst(1);
+	AddWorker("second");
+	Pass(1000);
+	Close();
+	workers["first"].lease = Worker::Clock(clock_now_ms()) + lease_max_ms;
+	workers["first"].reachable = false;
+	Put("lp/workers",
+	    "[[\"first\",\"\",0,[[\"job\",0,0,0]],10500,1000],"
+	    "[\"second\",\"\"]]");
+	Open();
+	Pass(2 * lease_max_ms);
+	EXPECT_EQ(workers["second"].runs.size(), 1u);
+	EXPECT_EQ(duplicate_runs, 0);
+}
+
+// The bound for the usual lease of 5 s, in proportion: the longest lease of 10
+// s and 2.5 s for an order that comes late.
+static constexpr int64_t kLongestAbsenceMaxMs = 9000 * 25 / 10;
+
+// Guards against a wait for the longest lease that begins anew with each
+// leader: the worker restarted and is cut off before anyone heard it.
+TEST_F(Handover, AListedRestartIsWaitedForOnceThoughLeadersFollowEachOther)
+{
+	int64_t away;
+
+	lease_max_ms = 2 * kLeaseMs;
+	workers["first"].started_ms = 1000;
+	RunOnFirst(1);
+	AddWorker("second");
+	Pass(1000);
+	workers["first"].reachable = false;
+	Pass(100);
+	RestartUnderItsId("first");
+	away = PassUntilRunning(1, 40000, [this](int64_t past) {
+		if (past > 0 && past % 2000 == 0)
+			Restart();
+	});
+	EXPECT_LT(away, kLongestAbsenceMaxMs);
+}
+
+// The same, but one leader heard the worker and recorded its restart.
+TEST_F(Handover, ARecordedRestartIsWaitedForOnceThoughLeadersFollowEachOther)
+{
+	int64_t away;
+
+	lease_max_ms = 2 * kLeaseMs;
+	workers["first"].started_ms = 1000;
+	RunOnFirst(1);
+	AddWorker("second");
+	RestartUnderItsId("first");
+	Pass(1500);
+	workers["first"].reachable = false;
+	workers["first"].runs.clear();
+	workers["second"].runs.clear();
+	Restart();
+	away = PassUntilRunning(1, 40000, [this](int64_t past) {
+		if (past > 0 && past % 2000 == 0)
+			Restart();
+	});
+	EXPECT_LT(away, kLongestAbsenceMaxMs);
+}
+
+// Guards against a usual lease that is counted for a restarted worker that
+// answers, where the record that told the restart is lost.
+TEST_F(Handover, ALostRecordAllowsTheLongestLease)
+{
+	lease_max_ms = 2 * kLeaseMs;
+	workers["first"].started_ms = 1000;
+	RunOnFirst(1);
+	RestartUnderItsId("first");
+	Pass(1500);
+	ASSERT_EQ(workers["first"].runs.size(), 1u);
+	AddWorker("second");
+	Close();
+	Put("lp/workers", "{");
+	Open();
+	Pass(500);
+	workers["first"].reachable = false;
+	Pass(2 * lease_max_ms);
+	EXPECT_EQ(workers["second"].runs.size(), 1u);
+	EXPECT_EQ(duplicate_runs, 0);
+}
+
+// The rows of draining workers that tell a start, and what a next leader does.
+TEST_F(Handover, RowsOfDrainingWorkersThatTellAStart)
+{
+	lease_max_ms = 2 * kLeaseMs;
+	workers["first"].started_ms = 1000;
+	RunOnFirst(1);
+	Drain("first", 20000);
+	Pass(500);
+	EXPECT_EQ(items["lp/workers"].value,
+	    "[[\"first\",\"\",1,[[\"job\",0,0,0]],null,1000]]");
+	Close();
+	workers["first"].reachable = false;
+	AddWorker("second");
+	Open();
+	Pass(kAbsenceMaxMs);
+	EXPECT_EQ(workers["second"].runs.size(), 1u);
+	EXPECT_EQ(duplicate_runs, 0);
+}
--- a/tests/test_sched_inherit.cc
+++ b/tests/test_sched_inherit.cc
@@ -168,10 +168,14 @@
 
 	// The worker answers the poll that is due.
 	void
-	AnswerPoll(struct sched_worker *w, int64_t started_ms)
+	AnswerPoll(struct sched_worker *w, int64_t started_ms, bool runs = true)
 	{
+		std::vector<poll_running> rows;
+
+		if (runs)
+			rows.push_back(FormerRun());
 		sched_act(s, now);
-		Answer(w, { FormerRun() }, {}, started_ms);
+		Answer(w, rows, {}, started_ms);
 		ASSERT_EQ(w->inc.heard_ms, now);
 		ASSERT_EQ(w->inc.started_ms, started_ms);
 	}
@@ -259,3 +263,55 @@
 	AnswerPoll(w, kLater);
 	EXPECT_EQ(sched_worker_record_start(s, w, now), kLater);
 }
+
+// Guards against a row that is written again as it was inherited, although the
+// list has told a restart: the next leader may find no entry of the worker.
+TEST_F(SchedInheritStart, AListedRestartIsRecordedUnheard)
+{
+	struct sched_worker *w = InheritStart(kStart, kLater);
+
+	EXPECT_EQ(sched_worker_record_start(s, w, now), SCHED_START_UNKNOWN);
+}
+
+// Guards against records written for each start where workers grant less than
+// the time that a start is valid.
+TEST_F(SchedInheritStart, AStartDoesntChangeTheRecordedStart)
+{
+	s->opt.lease_max_ms = s->opt.lease_ms = 2000;
+	struct sched_worker *w = sched_worker_get(s, "w");
+	sched_worker_list_start(s, w, kStart, now);
+	AddWorker("w", 8000);
+	sched_act(s, now);
+	Answer(w, {}, {}, kStart);
+	ASSERT_EQ(sched_worker_record_start(s, w, now), kStart);
+	Add(Graph("a", 1, 1000));
+	now += 10;
+	sched_act(s, now);
+	ASSERT_EQ(started.size(), 1u);
+	EXPECT_EQ(sched_worker_record_start(s, w, now), kStart);
+}
+
+// Guards against starts on a restarted worker while the store still tells that
+// its leases are usual ones.
+TEST_F(SchedInheritStart, NothingStartsBeforeTheRestartIsRecorded)
+{
+	struct sched_worker *w = sched_worker_get(s, "w");
+
+	sched_worker_list_start(s, w, kStart, now);
+	AddWorker("w", 8000);
+	AnswerPoll(w, kStart, false);
+	store_slow = true;
+	now += 100;
+	sched_worker_list_start(s, w, kLater, now);
+	AnswerPoll(w, kLater, false);
+	Add(Graph("a", 1, 1000));
+	now += 100;
+	sched_act(s, now);
+	EXPECT_EQ(started.size(), 0u);
+	store_slow = false;
+	sched_worker_recording(s, w, now);
+	sched_worker_recorded(w, RECORD_IN_USE);
+	s->place_wanted = true;
+	sched_act(s, now + 100);
+	EXPECT_EQ(started.size(), 1u);
+}
--- a/tests/test_sched_restart.cc
+++ b/tests/test_sched_restart.cc
@@ -305,3 +305,49 @@
 	EXPECT_EQ(lost[0].crashes, 0u);
 	EXPECT_EQ(RunningAnywhere(), 1u);
 }
+
+// Guards against a second run of a task whose start reaches the next
+// incarnation, which is cut off before it answers.  The leader has heard only
+// the former one, but the list tells the restart: the lease of the former one
+// bounds nothing.
+TEST_F(SchedRestart, AListedRestartAllowsTheLongestLeaseUnderTheSameLeader)
+{
+	s->opt.lease_max_ms = 10000;
+	JoinTelling("w", 4000);
+	Simulate(1000);
+	GoDown("w");
+	Add(Graph("a", 1, 1000));
+	Simulate(100);
+	ASSERT_EQ(started.size(), 1u);
+	JoinTelling("x", 4000);
+	Simulate(500);
+	sim["w"].running.push_back({ started[0], now });
+	List("w", kStarted + 7000);
+	for (int64_t end = now + s->opt.lease_max_ms; now < end;) {
+		Simulate(50);
+		ASSERT_LE(RunningAnywhere(), 1u) << now - end;
+	}
+}
+
+// Guards against a lease that is counted from the first answer alone: a start
+// for the former incarnation that had no answer reaches the next one seconds
+// later, which refuses it as old, but takes the lease from it.
+TEST_F(SchedRestart, ALateOrderForTheFormerLifeAllowsTheLongestLease)
+{
+	constexpr int64_t kLateMs = 2000;
+	struct sched_worker *w = JoinTelling("w", 4000);
+
+	s->opt.lease_max_ms = 10000;
+	Simulate(1000);
+	GoDown("w");
+	Add(Graph("a", 1, 1000));
+	Simulate(100);
+	ASSERT_EQ(started.size(), 1u);
+	Simulate(400);
+	ComeBack("w", kStarted + 7000);
+	Simulate(kLateMs);
+	ASSERT_EQ(sim["w"].running.size(), 1u);
+	int64_t lease_end = now + s->opt.lease_max_ms;
+	sim["w"].reachable = false;
+	EXPECT_GE(now + sched_worker_lease_left_ms(s, w, now), lease_end);
+}
