VM list: one VM that can't be used leaves the others

Seen: a list with one bad field (a port of 65536, an empty id) was refused whole; a number beyond 64 bits, 1e999, a member written twice, a \u0000 or a value nested 100,000 levels deep in one row made the document no JSON. In both cases the list became old for as long as the row stayed, and no VM that came, left or went was seen.

Cause: the document was decoded as one, and the first bad field ended it.

A refused VM is logged and counted once (entry_refused key= reason=, lagoonpin_vm_refused) and stays as last known, so that it can't count as gone. While a row without a readable id is listed no VM counts as absent, as it may be any of them. A document that is damaged around its rows is refused whole, as before. Ids, addresses and names are checked for what a URL and a log line can take.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -65,23 +65,31 @@
 	free(f);
 }
 
-int
-fleet_apply(
-    struct fleet *f, const struct vm_info *infos, size_t n, int64_t now_ms)
+/* Returns false if one of them has no id. */
+static bool
+keep_refused(struct fleet *f, const struct fleet_list *list)
 {
 	struct vm *v;
+	bool named;
 	size_t i;
 
-	TAILQ_FOREACH (v, &f->vms, link)
-		v->listed = false;
-	for (i = 0; i < n; i++) {
-		v = fleet_find(f, infos[i].id);
-		if (v == NULL && (v = vm_add(f, &infos[i])) == NULL)
-			return -1;
-		v->listed = true;
-		v->missing_since_ms = 0;
-		vm_update(f, v, &infos[i], now_ms);
+	named = true;
+	for (i = 0; i < list->nrefused; i++) {
+		if (list->refused[i].id[0] == '\0')
+			named = false;
+		else if ((v = fleet_find(f, list->refused[i].id)) != NULL) {
+			v->listed = true;
+			v->missing_since_ms = 0;
+		}
 	}
+	return named;
+}
+
+static void
+note_absent(struct fleet *f, int64_t now_ms)
+{
+	struct vm *v;
+
 	TAILQ_FOREACH (v, &f->vms, link) {
 		if (v->listed || v->info.state == VM_GONE)
 			continue;
@@ -95,10 +103,46 @@
 		if (now_ms - v->missing_since_ms >= f->opt.gone_after_ms)
 			vm_set_state(f, v, VM_GONE, now_ms);
 	}
+}
+
+int
+fleet_apply_list(struct fleet *f, const struct fleet_list *list, int64_t now_ms)
+{
+	struct vm *v;
+	size_t i;
+
+	TAILQ_FOREACH (v, &f->vms, link)
+		v->listed = false;
+	for (i = 0; i < list->n; i++) {
+		v = fleet_find(f, list->infos[i].id);
+		if (v == NULL && (v = vm_add(f, &list->infos[i])) == NULL)
+			return -1;
+		v->listed = true;
+		v->missing_since_ms = 0;
+		vm_update(f, v, &list->infos[i], now_ms);
+	}
+	if (keep_refused(f, list))
+		note_absent(f, now_ms);
+	else {
+		TAILQ_FOREACH (v, &f->vms, link)
+			v->missing_since_ms = 0;
+	}
 	f->applied_ms = now_ms;
 	return 0;
 }
 
+int
+fleet_apply(
+    struct fleet *f, const struct vm_info *infos, size_t n, int64_t now_ms)
+{
+	struct fleet_list list;
+
+	memset(&list, 0, sizeof(list));
+	list.infos = (struct vm_info *)infos;
+	list.n = n;
+	return fleet_apply_list(f, &list, now_ms);
+}
+
 static struct vm *
 vm_add(struct fleet *f, const struct vm_info *info)
 {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -40,6 +40,21 @@
 	int connections;
 };
 
+/* A VM that is listed with a field that can't be used. */
+struct fleet_refused {
+	size_t index; /* in the list, from 0 */
+	char id[FLEET_ID_MAX]; /* "": can't be read */
+	const char *field; /* static string */
+};
+
+/* One reading of the platform's list. */
+struct fleet_list {
+	struct vm_info *infos;
+	size_t n;
+	struct fleet_refused *refused;
+	size_t nrefused;
+};
+
 struct fleet_shard;
 
 struct vm {
@@ -87,6 +102,12 @@
  */
 int fleet_apply(
     struct fleet *, const struct vm_info *, size_t n, int64_t now_ms);
+/*
+ * Same as fleet_apply().  A refused VM stays as it was last known.  A refused
+ * one without an id may be any VM that isn't listed, so with such a one none
+ * counts as absent.
+ */
+int fleet_apply_list(struct fleet *, const struct fleet_list *, int64_t now_ms);
 
 /* Time since a list was last applied; -1: never. */
 int64_t fleet_age_ms(const struct fleet *, int64_t now_ms);
--- a/lagoonpind/vms.c
+++ b/lagoonpind/vms.c
@@ -1,10 +1,12 @@
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "clock.h"
 #include "counter.h"
 #include "lagoonpind.h"
 #include "log.h"
+#include "refused.h"
 #include "vmlist.h"
 
 #define READ_TIMEOUT_MS 3000
@@ -17,6 +19,7 @@
 struct vms {
 	struct httpc_call *call;
 	int64_t next_ms;
+	struct refused refused; /* VMs with a field that can't be used */
 	char url[SETTING_IP_SIZE + 32];
 };
 
@@ -48,6 +51,7 @@
 		return -1;
 	if ((e->vms = calloc(1, sizeof(*e->vms))) == NULL)
 		return -1;
+	refused_init(&e->vms->refused, "lagoonpin_vm_refused");
 	snprintf(e->vms->url, sizeof(e->vms->url), "http://%s/v1/vms",
 	    settings_address_text(&e->opt.vm_list, address, sizeof(address)));
 	return 0;
@@ -76,6 +80,8 @@
 {
 	if (e->vms != NULL && e->vms->call != NULL)
 		httpc_cancel(e->vms->call);
+	if (e->vms != NULL)
+		refused_free(&e->vms->refused);
 	free(e->vms);
 	e->vms = NULL;
 	fleet_close(e->fleet);
@@ -100,24 +106,55 @@
 	apply_list(e, result->body, result->body_len);
 }
 
+static bool
+is_refused(const struct fleet_list *list, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < list->nrefused; i++) {
+		if (strcmp(list->refused[i].id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Logs and counts VMs that can't be used, by id or by place in the list. */
+static void
+note_refused(struct refused *refused, const struct fleet_list *list)
+{
+	const struct fleet_refused *vm;
+	char place[32];
+	size_t i;
+
+	for (i = 0; i < list->n && refused->n > 0; i++) {
+		if (!is_refused(list, list->infos[i].id))
+			refused_clear(refused, list->infos[i].id);
+	}
+	for (i = 0; i < list->nrefused; i++) {
+		vm = &list->refused[i];
+		snprintf(place, sizeof(place), "vms[%zu]", vm->index);
+		refused_note(
+		    refused, vm->id[0] != '\0' ? vm->id : place, vm->field);
+	}
+}
+
 static void
 apply_list(struct entry *e, const char *text, size_t len)
 {
-	struct vmlist_fault fault;
 	enum vmlist_error error;
-	struct vm_info *infos;
-	size_t n;
+	struct fleet_list list;
 
-	error = vmlist_parse(text, len, &infos, &n, &fault);
+	error = vmlist_parse(text, len, &list);
 	if (error != VMLIST_OK) {
 		counter_inc_reason("lagoonpin_vm_list_errors", "rubbish");
-		log_warn("vm_list_refused", "reason=\"%s\" vm=%zu field=%s",
-		    vmlist_strerror(error), fault.index, fault.field);
+		log_warn("vm_list_refused", "reason=\"%s\" bytes=%zu",
+		    vmlist_strerror(error), len);
 		return;
 	}
-	if (fleet_apply(e->fleet, infos, n, clock_now_ms()) == -1)
+	note_refused(&e->vms->refused, &list);
+	if (fleet_apply_list(e->fleet, &list, clock_now_ms()) == -1)
 		log_error("vm_list_not_applied", "reason=\"out of memory\"");
-	free(infos);
+	vmlist_free(&list);
 }
 
 static void
--- a/lib/validate.c
+++ b/lib/validate.c
@@ -47,6 +47,16 @@
 	return i > 0;
 }
 
+bool
+valid_ip(const char *text)
+{
+	struct sockaddr_in6 sin6;
+	struct sockaddr_in sin;
+
+	return uv_ip4_addr(text, 0, &sin) == 0 ||
+	    uv_ip6_addr(text, 0, &sin6) == 0;
+}
+
 static bool
 is_port(const char *text)
 {
--- a/lib/validate.h
+++ b/lib/validate.h
@@ -18,6 +18,8 @@
 bool valid_token(const char *, size_t size);
 /* A name that people gave: not empty, without control characters. */
 bool valid_name(const char *, size_t size);
+/* An IPv4 or IPv6 number. */
+bool valid_ip(const char *);
 /* IP:PORT, by number; an IPv6 address is in brackets. */
 bool valid_address(const char *, size_t size);
 
--- a/lib/vmlist.h
+++ b/lib/vmlist.h
@@ -10,22 +10,17 @@
 enum vmlist_error {
 	VMLIST_OK,
 	VMLIST_ERR_JSON, /* not a JSON object with an array "vms" */
-	VMLIST_ERR_FIELD, /* a field is missing or out of range */
 	VMLIST_ERR_MEMORY
 };
 
-/* Position of the error, for the log. */
-struct vmlist_fault {
-	size_t index; /* of the VM in the list */
-	char field[32]; /* "" if the error concerns the whole list */
-};
-
 /*
- * Parses a VM list.  One invalid VM rejects the whole list, since a partial
- * list would look like the loss of a rack.  The caller frees *infos.
+ * Parses a VM list.  A VM with an invalid field is listed as refused, with its
+ * id if that can be read, and doesn't affect the others.  On success the caller
+ * frees the list with vmlist_free().
  */
-enum vmlist_error vmlist_parse(const char *text, size_t len,
-    struct vm_info **infos, size_t *n, struct vmlist_fault *);
+enum vmlist_error vmlist_parse(
+    const char *text, size_t len, struct fleet_list *);
+void vmlist_free(struct fleet_list *);
 
 const char *vmlist_strerror(enum vmlist_error);
 
