Store client: a key with a NUL leaves the others of its answer

Seen: another client puts the key "w/b\0c". No range of the prefix could be read any more, and the watch was opened anew at the same revision again and again: no change of the configuration, the registry or the inboxes was followed until the key was removed.

Cause: keys are bytes to the store and text to us; a key that is no text made the whole message invalid.

Change: such an entry is left out, logged and counted (lagoonpin_store_entry_refused), and the watch goes on after its revision. What only the store itself writes is checked as strictly as before.

Measured: StoreWatch.a_key_with_a_nul_leaves_the_other_events and Store.a_key_with_a_nul_leaves_the_others_of_a_range fail on the code before ("stuck", and a range without an answer) and pass now. Store.a_value_of_any_bytes_leaves_the_others_of_a_range passes on both: values of 100,000 brackets, of 1 MB and of no UTF-8 did no harm here. test_store 20 of 20, also under the sanitizers.

--- a/lib/store_codec.h
+++ b/lib/store_codec.h
@@ -6,7 +6,9 @@
 /*
  * Message bodies of the store's JSON gateway.  Encoders return NUL-terminated
  * text that the caller frees, or NULL if out of memory.  Decoders return -1 if
- * the text is not a valid response or memory runs out.
+ * the text is not a valid response or memory runs out.  Keys are bytes to the
+ * store but text here: an entry whose key contains a NUL is left out, logged
+ * and counted.
  */
 
 char *store_encode_range(const struct store_range_request *);
@@ -38,6 +40,7 @@
 	int64_t revision;
 	struct store_event *events;
 	size_t nevents;
+	int64_t refused_revision; /* of the last refused event; 0: none */
 };
 
 int store_decode_watch(const char *, size_t, struct store_watch_message *);
--- a/lib/store_decode.c
+++ b/lib/store_decode.c
@@ -4,15 +4,20 @@
 #include <jansson.h>
 
 #include "base64.h"
+#include "counter.h"
 #include "decimal.h"
+#include "log.h"
 #include "store_codec.h"
 
 /* gRPC status codes that map to an error of their own. */
 #define CODE_NOT_FOUND 5
 #define CODE_OUT_OF_RANGE 11
+/* Bytes of a quoted key in the log. */
+#define QUOTED_MAX 512
 
 static char *get_bytes(const json_t *, const char *, size_t *);
 static int decode_kv(const json_t *, struct store_kv *);
+static bool is_text_key(const struct store_kv *, size_t);
 static void free_kv(const struct store_kv *);
 static void free_kvs(const struct store_kv *, size_t);
 static int decode_kvs(const json_t *, const struct store_kv **, size_t *);
@@ -35,6 +40,7 @@
 	    json_string_value(value), json_string_length(value), len);
 }
 
+/* Returns 1; 0 for an entry that is refused; -1 if it is invalid. */
 static int
 decode_kv(const json_t *object, struct store_kv *kv)
 {
@@ -48,11 +54,34 @@
 	kv->version = decimal_member(object, "version");
 	kv->lease = decimal_member(object, "lease");
 	if (kv->key == NULL || kv->value == NULL || key_len == 0 ||
-	    strlen(kv->key) != key_len || kv->mod_revision <= 0) {
+	    kv->mod_revision <= 0) {
 		free_kv(kv);
 		return -1;
 	}
-	return 0;
+	if (!is_text_key(kv, key_len)) {
+		free_kv(kv);
+		return 0;
+	}
+	return 1;
+}
+
+/*
+ * Any client may write a key with a NUL.  If it made the whole response
+ * invalid, no key with the same prefix could be read any more, and a watch
+ * would be reopened at the same revision again and again.
+ */
+static bool
+is_text_key(const struct store_kv *kv, size_t len)
+{
+	char quoted[QUOTED_MAX];
+
+	if (strlen(kv->key) == len)
+		return true;
+	counter_inc_reason("lagoonpin_store_entry_refused", "key");
+	log_warn("entry_refused", "key=%s bytes=%zu revision=%lld reason=key",
+	    log_quote(kv->key, quoted, sizeof(quoted)), len,
+	    (long long)kv->mod_revision);
+	return false;
 }
 
 static void
@@ -76,7 +105,8 @@
 decode_kvs(const json_t *array, const struct store_kv **kvs, size_t *nkvs)
 {
 	struct store_kv *list;
-	size_t i, n;
+	size_t i, n, size;
+	int rc;
 
 	*kvs = NULL;
 	*nkvs = 0;
@@ -84,15 +114,18 @@
 		return 0;
 	if (!json_is_array(array))
 		return -1;
-	if ((n = json_array_size(array)) == 0)
+	if ((size = json_array_size(array)) == 0)
 		return 0;
-	if ((list = calloc(n, sizeof(*list))) == NULL)
+	if ((list = calloc(size, sizeof(*list))) == NULL)
 		return -1;
-	for (i = 0; i < n; i++) {
-		if (decode_kv(json_array_get(array, i), &list[i]) == -1) {
-			free_kvs(list, i);
+	n = 0;
+	for (i = 0; i < size; i++) {
+		rc = decode_kv(json_array_get(array, i), &list[n]);
+		if (rc == -1) {
+			free_kvs(list, n);
 			return -1;
 		}
+		n += (size_t)rc;
 	}
 	*kvs = list;
 	*nkvs = n;
@@ -258,8 +291,10 @@
 store_decode_watch(const char *text, size_t len, struct store_watch_message *m)
 {
 	const json_t *result, *array;
+	struct store_event *event;
 	json_t *o;
-	size_t n;
+	size_t i, n;
+	int rc;
 
 	memset(m, 0, sizeof(*m));
 	o = json_loadb(text, len, 0, NULL);
@@ -275,10 +310,15 @@
 	n = json_array_size(array);
 	if (n > 0 && (m->events = calloc(n, sizeof(*m->events))) == NULL)
 		goto fail;
-	for (; m->nevents < n; m->nevents++) {
-		if (decode_event(json_array_get(array, m->nevents),
-			&m->events[m->nevents]) == -1)
+	for (i = 0; i < n; i++) {
+		event = &m->events[m->nevents];
+		rc = decode_event(json_array_get(array, i), event);
+		if (rc == -1)
 			goto fail;
+		if (rc == 0)
+			m->refused_revision = event->kv.mod_revision;
+		else
+			m->nevents++;
 	}
 	json_decref(o);
 	return 0;
--- a/lib/store_watch.c
+++ b/lib/store_watch.c
@@ -301,7 +301,10 @@
 			seen = m->events[i].kv.mod_revision;
 		w->on_event(m->events[i].type, &m->events[i].kv, w->ctx);
 	}
-	if (m->nevents == 0 && !m->created && m->revision > seen)
+	if (m->refused_revision > seen)
+		seen = m->refused_revision;
+	if (m->nevents == 0 && m->refused_revision == 0 && !m->created &&
+	    m->revision > seen)
 		seen = m->revision;
 	if (w->state != WATCH_OPEN || m->created)
 		return;
--- a/tests/test_store.cc
+++ b/tests/test_store.cc
@@ -5,6 +5,10 @@
 
 #include "kvstand_fixture.h"
 
+extern "C" {
+#include "base64.h"
+}
+
 namespace {
 
 class Store : public KvstandTest {
@@ -109,6 +113,20 @@
 		return t;
 	}
 
+	/* A put of a client that takes keys for bytes. */
+	void
+	put_bytes(const std::string &key, const std::string &value)
+	{
+		char *k = base64_encode(key.data(), key.size());
+		char *v = base64_encode(value.data(), value.size());
+
+		post("/v3/kv/txn",
+		    std::string("{\"success\":[{\"request_put\":{\"key\":\"") +
+			k + "\",\"value\":\"" + v + "\"}}]}");
+		free(k);
+		free(v);
+	}
+
 	Range
 	range(const std::string &key, bool prefix = false, int64_t revision = 0,
 	    int64_t limit = 0)
@@ -423,6 +441,66 @@
 	    counted("lagoonpin_store_retries", "reason=\"watch_broken\""), 1U);
 }
 
+/*
+ * Another client writes a key with a NUL among those that are watched.  If the
+ * message were refused for it, the watch would be reopened at the same revision
+ * again and again, and no change would be followed any more.
+ */
+TEST_F(StoreWatch, a_key_with_a_nul_leaves_the_other_events)
+{
+	const std::string odd("w/b\0c", 5);
+	Watched w;
+
+	open();
+	cas("w/a", "1", 0);
+	ASSERT_NE(watch(w, 1), nullptr);
+	until([&] { return w.events.size() == 1; });
+	put_bytes(odd, "9");
+	until([&] { return w.progress == 3; });
+	cas("w/d", "4", 0);
+	until([&] { return w.events.size() == 2; });
+	EXPECT_EQ(w.events, (std::vector<std::string>{ "w/a=1", "w/d=4" }));
+	EXPECT_EQ(w.broken, 0);
+	EXPECT_EQ(
+	    counted("lagoonpin_store_entry_refused", "reason=\"key\""), 1U);
+}
+
+/* The same key in a range: no key of its prefix could be read any more. */
+TEST_F(Store, a_key_with_a_nul_leaves_the_others_of_a_range)
+{
+	open();
+	cas("w/a", "1", 0);
+	put_bytes(std::string("w/b\0c", 5), "9");
+	cas("w/d", "4", 0);
+	Range all = range("w/", true);
+	EXPECT_EQ(all.error, STORE_OK);
+	EXPECT_EQ(all.kvs,
+	    (std::map<std::string, std::string>{
+		{ "w/a", "1" }, { "w/d", "4" } }));
+	EXPECT_EQ(
+	    counted("lagoonpin_store_entry_refused", "reason=\"key\""), 1U);
+}
+
+/*
+ * Values of another client that no parser takes.  They are bytes to the store,
+ * so they reach their reader and leave the answer's other keys alone.
+ */
+TEST_F(Store, a_value_of_any_bytes_leaves_the_others_of_a_range)
+{
+	const std::string values[] = { std::string(100000, '['), "1e999",
+		"99999999999999999999", std::string("\0\xff", 2),
+		std::string(1000000, 'x') };
+
+	open();
+	for (const auto &value : values) {
+		Range before = range("w/b");
+		cas("w/b", value, before.mod_revision);
+		Range all = range("w/", true);
+		EXPECT_EQ(all.error, STORE_OK);
+		EXPECT_EQ(all.kvs["w/b"], value);
+	}
+}
+
 /*
  * While a watch is disconnected, the store compacts the revisions that it
  * needs to resume.  The caller is told once to reload everything and gets no
