Registry: check the records of entries when they are read

Seen: a record at lp/w/entry/e1 with the incarnation ended the running entry e1 as replaced within a second. With -1 (a trial on a scratch copy) it ended by it, and again 4 s after its next start.

Cause: any integer was taken for an incarnation, a negative one as a very large one. The other entries took it over, too (read in the code, not run). Addresses and names weren't checked at all.

Change: registry_parse() names the field that can't be used: an incarnation is a time of day from 1 up to the year 2200, the bound being a constant so that it doesn't depend on this machine's clock; id and addresses are checked by lib/validate. A refused record is logged once with key and field and counted (lagoonpin_registry_refused, in place of lagoonpin_registry_failures{reason="bad_record"}).

Measured: process_odd_entries fails on the code before (e1 ends) and passes now in 1.4 s; test_registry 3 of 3, also under the sanitizers.

--- a/lagoonpind/mesh.h
+++ b/lagoonpind/mesh.h
@@ -4,9 +4,10 @@
 #include "lagoonpind.h"
 #include "member.h"
 #include "peer.h"
+#include "refused.h"
 #include "wire.h"
 
-/* Shared by mesh.c, registry.c, seed.c and entries.c. */
+/* Shared by mesh.c, registry.c, registry_parse.c, seed.c and entries.c. */
 
 enum registry_step {
 	REGISTRY_NONE, /* no lease */
@@ -23,6 +24,7 @@
 	int64_t next_ms; /* no store request before */
 	bool replaced; /* a later incarnation of this entry is registered */
 	bool revoking;
+	struct refused refused; /* records that can't be used */
 };
 
 struct mesh_handler_entry {
@@ -47,6 +49,13 @@
 /* Revoke the lease, which deletes the key: this entry has left. */
 void registry_leave(struct mesh *);
 
+/*
+ * Reads what another entry registered under its id.  Returns NULL, or the name
+ * of the field that can't be used.
+ */
+const char *registry_parse(const char *id, const char *text, size_t len,
+    struct member_record *, char *listen, size_t size);
+
 /* Contact seed addresses while no peer is known; run each heartbeat. */
 void seed_tick(struct mesh *);
 
--- a/lagoonpind/registry.c
+++ b/lagoonpind/registry.c
@@ -29,9 +29,8 @@
 static void on_put_done(const struct store_txn_result *, void *);
 static void on_unexpected_key(struct mesh *, const struct store_kv *);
 static char *own_value(const struct mesh *);
-static bool parse_record(
-    const struct store_kv *, struct member_record *, char *, size_t);
-static bool copy_field(const json_t *, const char *, char *, size_t);
+static bool parse_record(struct mesh *, const struct store_kv *,
+    struct member_record *, char *, size_t);
 static void on_put(const struct store_kv *, void *);
 static void on_delete(const char *, int64_t, void *);
 static void on_reload_begin(void *);
@@ -51,6 +50,7 @@
 	watch->on_delete = on_delete;
 	watch->reload_end = on_reload_end;
 	watch->ctx = mesh;
+	refused_init(&mesh->registry.refused, "lagoonpin_registry_refused");
 	watch_register(mesh->entry, watch);
 }
 
@@ -242,7 +242,7 @@
 	struct member_record record;
 	char listen[MEMBER_ADDRESS_MAX];
 
-	if (parse_record(kv, &record, listen, sizeof(listen)) &&
+	if (parse_record(mesh, kv, &record, listen, sizeof(listen)) &&
 	    record.incarnation > mesh->entry->incarnation) {
 		on_replaced(mesh, record.incarnation);
 		return;
@@ -283,39 +283,21 @@
 		mesh->registry.lease = 0;
 }
 
+/* Logs and counts a record that can't be used. */
 static bool
-copy_field(const json_t *object, const char *name, char *to, size_t size)
+parse_record(struct mesh *mesh, const struct store_kv *kv,
+    struct member_record *record, char *listen, size_t size)
 {
-	const char *value;
+	const char *field;
 
-	value = json_string_value(json_object_get(object, name));
-	return value != NULL && strlcpy(to, value, size) < size;
-}
-
-static bool
-parse_record(const struct store_kv *kv, struct member_record *record,
-    char *listen, size_t size)
-{
-	json_t *object, *incarnation;
-	bool valid;
-
-	memset(record, 0, sizeof(*record));
-	object = json_loadb(kv->value, kv->len, JSON_REJECT_DUPLICATES, NULL);
-	incarnation = json_object_get(object, "incarnation");
-	valid =
-	    json_integer_value(json_object_get(object, "schema")) == SCHEMA &&
-	    copy_field(object, "id", record->id, sizeof(record->id)) &&
-	    copy_field(
-		object, "peer", record->address, sizeof(record->address)) &&
-	    copy_field(object, "data_center", record->data_center,
-		sizeof(record->data_center)) &&
-	    copy_field(object, "listen", listen, size) &&
-	    json_is_integer(incarnation) &&
-	    strcmp(kv->key + strlen(KEY_PREFIX), record->id) == 0;
-	if (valid)
-		record->incarnation = (uint64_t)json_integer_value(incarnation);
-	json_decref(object);
-	return valid;
+	field = registry_parse(kv->key + strlen(KEY_PREFIX), kv->value, kv->len,
+	    record, listen, size);
+	if (field == NULL) {
+		refused_clear(&mesh->registry.refused, kv->key);
+		return true;
+	}
+	refused_note(&mesh->registry.refused, kv->key, field);
+	return false;
 }
 
 static bool
@@ -331,11 +313,8 @@
 	struct member_record record;
 	char listen[MEMBER_ADDRESS_MAX];
 
-	if (!parse_record(kv, &record, listen, sizeof(listen))) {
-		counter_inc_reason("lagoonpin_registry_failures", "bad_record");
-		log_warn("bad_registry_record", "key=%s", kv->key);
+	if (!parse_record(mesh, kv, &record, listen, sizeof(listen)))
 		return;
-	}
 	if (is_own(mesh, kv->key)) {
 		mesh->registry.key_revision = kv->mod_revision;
 		if (record.incarnation > mesh->entry->incarnation)
@@ -358,6 +337,7 @@
 	struct mesh *mesh = ctx;
 	struct registry *r = &mesh->registry;
 
+	refused_clear(&r->refused, key);
 	if (!is_own(mesh, key)) {
 		member_registry_remove(
 		    mesh->members, key + strlen(KEY_PREFIX), clock_now_ms());
--- a/tests/objs.mk
+++ b/tests/objs.mk
@@ -19,6 +19,7 @@
 OBJS_test_itemset = $(addprefix $(OUT)/platstand.d/,itemset.o xmalloc.o)
 OBJS_test_machine = $(addprefix $(OUT)/platstand.d/,machine.o xmalloc.o) \
 	$(OUT)/workstand.d/witness.o
+OBJS_test_registry = $(OUT)/lagoonpind.d/registry_parse.o
 OBJS_test_replay = $(addprefix $(OUT)/lagoonreplay.d/,baseline.o calls.o \
 	faults.o generate.o measure.o ours.o policies.o report.o tasks.o \
 	trace.o traceline.o world.o)
