Platform store: a key with a NUL leaves the others of its answer

Seen: with \u0000 in the key of one item a read and a watch of the list of workers ended as store_answer_damaged, so that the list becomes old. Whether the platform's store takes such a key is not known here; the stand-in doesn't.

Cause: the JSON parser refuses \u0000 unless it is told otherwise.

Change: the answer is read with NULs; an item with one in its key is refused with key and field (lagoonpin_store_item_refused{reason="key"}). A page that says that there are more items and has none that can be used ends the read as failed: taken for the last one, all workers on later pages would count as gone.

--- a/tests/test_kv.cc
+++ b/tests/test_kv.cc
@@ -12,6 +12,7 @@
 
 extern "C" {
 #include "clock.h"
+#include "counter.h"
 #include "kv.h"
 }
 
@@ -181,7 +182,7 @@
 		peer->stop();
 		uv_run(&loop, UV_RUN_DEFAULT);
 		EXPECT_EQ(uv_loop_close(&loop), 0);
-		free(kv);
+		platform_kv_close(kv);
 	}
 
 	void
@@ -232,6 +233,9 @@
 
 		self->answered = true;
 		self->error = result->error;
+		self->keys.clear();
+		for (size_t i = 0; i < result->nitems; i++)
+			self->keys.push_back(result->items[i].key);
 	}
 
 	uv_loop_t loop;
@@ -241,8 +245,23 @@
 	std::unique_ptr<ScriptedPeer> peer;
 	bool answered = false;
 	enum kv_error error = KV_OK;
+	std::vector<std::string> keys;
 };
 
+Step
+Answer(const std::string &body)
+{
+	return { "HTTP/1.1 200 OK\r\nContent-Length: " +
+		    std::to_string(body.size()) + "\r\n\r\n" + body,
+		false };
+}
+
+// Three items; the key of the second contains a NUL.
+const char kNulKey[] = "[{\"key\":\"servers/a\",\"value\":\"\",\"revision\":1},"
+		       "{\"key\":\"servers/a\\u0000b\",\"value\":\"\","
+		       "\"revision\":2},"
+		       "{\"key\":\"servers/c\",\"value\":\"\",\"revision\":3}]";
+
 } // namespace
 
 // Guards against reads that fail each time the store closes idle connections.
@@ -289,3 +308,38 @@
 	EXPECT_EQ(Wait(), KV_UNAVAILABLE);
 	EXPECT_EQ(peer->requests, 2u);
 }
+
+// Guards against a key with a NUL that makes the list of workers and its
+// changes unreadable, so that no worker that comes or goes is seen.
+TEST_F(KvStale, AKeyWithANulLeavesTheOthers)
+{
+	const std::vector<std::string> others = { "servers/a", "servers/c" };
+	const uint64_t counted = counter_value(
+	    counter_get("lagoonpin_store_item_refused", "reason=\"key\""));
+
+	Play({ Answer(std::string("{\"items\":") + kNulKey +
+		   ",\"has_more\":false,\"current_rev\":3}"),
+	    Answer(std::string("{\"events\":") + kNulKey +
+		",\"current_rev\":3}") });
+	ops.range(ops.self, "servers/", nullptr, OnDone, this);
+	EXPECT_EQ(Wait(), KV_OK);
+	EXPECT_EQ(keys, others);
+	ops.watch(ops.self, "servers/", 0, 100, OnDone, this);
+	EXPECT_EQ(Wait(), KV_OK);
+	EXPECT_EQ(keys, others);
+	// Logged and counted once, and not as the key before the NUL.
+	EXPECT_EQ(counter_value(counter_get(
+		      "lagoonpin_store_item_refused", "reason=\"key\"")),
+	    counted + 1);
+}
+
+// Guards against a page of which no item can be used that is taken for the last
+// one: all workers on later pages would count as gone.
+TEST_F(KvStale, APageWithoutAUsableKeyIsNotTheLast)
+{
+	Play({ Answer("{\"items\":[{\"key\":\"servers/a\\u0000b\","
+		      "\"value\":\"\",\"revision\":2}],\"has_more\":true,"
+		      "\"current_rev\":3}") });
+	ops.range(ops.self, "servers/", nullptr, OnDone, this);
+	EXPECT_EQ(Wait(), KV_UNAVAILABLE);
+}
