Election: refuse a leader record of a term out of range

Cause: any positive number was taken for a term; the one after the largest is negative in JSON, and attempt numbers hold 22 bits of it.

Change: a term above 4,000,000 makes the record unreadable; an unreadable record was already replaced (AnUnreadableLeaderIsReplaced).

Measured: Handover.ALeaderOfATermOutOfRangeIsReplaced fails on the code before (the record held the negative term) and passes now; test_handover 22 of 22.

--- a/entry/election.c
+++ b/entry/election.c
@@ -14,6 +14,13 @@
 	struct elect_record record;
 };
 
+/*
+ * Far more leaders than there will be.  The term after a larger one need not be
+ * a number that others read, and attempt numbers, which hold it in 22 of 32
+ * bits, would not rise.
+ */
+#define TERM_MAX 4000000
+
 static void on_record(const struct kv_result *, void *);
 static void on_pulse(const struct kv_result *, void *);
 static void on_record_written(const struct kv_result *, void *);
@@ -36,7 +43,7 @@
 	    valid_address(leader->address, sizeof(leader->address)) &&
 	    json_to_int64(json_object_get(object, "incarnation"), 0, INT64_MAX,
 		&incarnation) &&
-	    json_to_int64(json_object_get(object, "term"), 1, INT64_MAX, &term);
+	    json_to_int64(json_object_get(object, "term"), 1, TERM_MAX, &term);
 	json_decref(object);
 	if (!result)
 		return false;
--- a/tests/test_handover.cc
+++ b/tests/test_handover.cc
@@ -133,6 +133,28 @@
 	EXPECT_NE(items["lp/leader"].value.find("\"term\""), std::string::npos);
 }
 
+// Guards against a leader record of another writer whose term is the largest
+// number there is: the next leader's would be a negative one that no entry
+// reads, so that leaders follow each other without end.
+TEST_F(Handover, ALeaderOfATermOutOfRangeIsReplaced)
+{
+	RunOnFirst(2);
+	Close();
+	Put("lp/leader",
+	    "{\"id\":\"other\",\"address\":\"127.0.0.1:1\",\"incarnation\":1,"
+	    "\"term\":9223372036854775807}");
+	Open();
+	Pass(8000);
+	EXPECT_EQ(Running(), 2u);
+	EXPECT_EQ(duplicate_runs, 0);
+	EXPECT_EQ(
+	    items["lp/leader"].value.find("\"term\":-"), std::string::npos)
+	    << items["lp/leader"].value;
+	EXPECT_EQ(
+	    items["lp/leader"].value.find("\"term\":92"), std::string::npos)
+	    << items["lp/leader"].value;
+}
+
 // As in ALastingTaskIsBackThoughLeadersFollowEachOther, but the worker is only
 // unreachable and runs the tasks until its lease has expired: nothing may be
 // started elsewhere before.
