Jobs: refuse times and stretches that overflow

Sums of such times overflow, and the objective is a conversion out of range: undefined, in practice a job that is due or late by 292 million years. Shown at the reader only; what the scheduler made of such a job wasn't run.

Cause: the bounds that submitted jobs have weren't checked where records are read.

Change: graph_check() checks the times by the same bounds as submit; a stretch is at most 1e6. Nothing that could be submitted is refused.

Two tests show what can't happen: Foreign.NoFieldOfAnEntryEndsTheProcess writes 16 odd values (100,000 levels deep, numbers beyond 64 bits, 1e999, 1 MB, \u0000) into each of 13 fields, alone and as a second one of its name, on a stack of 2 MB; AnAddressWithoutAUsablePortNamesNoWorker has 11 addresses.

--- a/core/graph.c
+++ b/core/graph.c
@@ -44,6 +44,18 @@
 	    size->accelerators >= 0 && size->accelerators < TASK_SIZE_MAX;
 }
 
+static bool
+interval_is_valid(int64_t ms)
+{
+	return ms >= 0 && ms <= GRAPH_INTERVAL_MAX_MS;
+}
+
+static bool
+time_is_valid(int64_t ms)
+{
+	return ms >= 0 && ms <= GRAPH_TIME_MAX_MS;
+}
+
 static enum graph_error
 check_step(const struct graph_step *step, size_t number)
 {
@@ -51,7 +63,9 @@
 
 	if (step->count == 0 || step->count > GRAPH_TASKS_MAX)
 		return GRAPH_ERR_COUNT;
-	if (!size_is_valid(&step->size) || step->estimate_ms < 0)
+	if (!size_is_valid(&step->size) ||
+	    !interval_is_valid(step->estimate_ms) ||
+	    !interval_is_valid(step->tail_target_ms))
 		return GRAPH_ERR_SIZE;
 	for (i = 0; i < step->nafter; i++) {
 		if (step->after[i] >= number)
@@ -73,9 +87,12 @@
 		return GRAPH_ERR_NO_STEPS;
 	if (g->nsteps > GRAPH_STEPS_MAX)
 		return GRAPH_ERR_STEPS;
-	if (g->repeats > GRAPH_REPEATS_MAX || g->every_ms < 0 ||
-	    g->first_due_ms < 0)
+	if (g->repeats > GRAPH_REPEATS_MAX || !interval_is_valid(g->every_ms) ||
+	    !time_is_valid(g->first_due_ms))
 		return GRAPH_ERR_REPEATS;
+	if (!time_is_valid(g->submitted_ms) ||
+	    !interval_is_valid(g->terms.target_ms))
+		return GRAPH_ERR_TIME;
 	for (i = 0; i < g->nsteps; i++) {
 		*step = i;
 		if ((error = check_step(&g->steps[i], i)) != GRAPH_OK)
@@ -102,6 +119,8 @@
 		return "task size or run time is out of range";
 	case GRAPH_ERR_AFTER:
 		return "step depends on itself or on a later step";
+	case GRAPH_ERR_TIME:
+		return "time of submission or target is out of range";
 	case GRAPH_ERR_REPEATS:
 		return "repeat count, interval or first due time is out of "
 		       "range";
--- a/core/graph.h
+++ b/core/graph.h
@@ -18,6 +18,11 @@
 #define GRAPH_STEPS_MAX 256 /* bounds the memory that one request can use */
 #define GRAPH_TASKS_MAX 10000 /* tasks of one step, for the same reason */
 #define GRAPH_REPEATS_MAX 100000
+/* Of intervals and of times since 1970: sums of a job's times then fit. */
+#define GRAPH_INTERVAL_MAX_MS INT32_MAX
+#define GRAPH_TIME_MAX_MS (INT64_MAX / 4)
+/* With it the objective of any job fits into 64 bits. */
+#define QUEUE_STRETCH_MAX 1e6
 
 struct graph_step {
 	uint32_t count; /* tasks */
@@ -80,7 +85,8 @@
 	GRAPH_ERR_COUNT,
 	GRAPH_ERR_SIZE,
 	GRAPH_ERR_AFTER, /* not an earlier step */
-	GRAPH_ERR_REPEATS
+	GRAPH_ERR_REPEATS,
+	GRAPH_ERR_TIME
 };
 
 /* The steps are zeroed; NULL: no memory. */
--- a/entry/codec.c
+++ b/entry/codec.c
@@ -145,8 +145,9 @@
 	if (!json_is_object(object) || !json_is_number(stretch))
 		return false;
 	terms->stretch = json_number_value(stretch);
-	return get_text(
-		   object, "service", terms->service, sizeof(terms->service)) &&
+	return terms->stretch >= 0 && terms->stretch <= QUEUE_STRETCH_MAX &&
+	    get_text(
+		object, "service", terms->service, sizeof(terms->service)) &&
 	    get_count(object, "priority", &terms->priority) &&
 	    get_count(object, "max_attempts", &terms->max_attempts) &&
 	    get_number(object, "target_ms", &terms->target_ms);
--- a/tests/test_foreign.cc
+++ b/tests/test_foreign.cc
@@ -1,6 +1,7 @@
 // Records that other programs write to the store, and answers of faulty
 // workers: an invalid one adds no usable worker, and the others stay usable.
 
+#include <pthread.h>
 #include <unistd.h>
 
 #include <cstring>
@@ -14,6 +15,7 @@
 #include "mutate.h"
 
 extern "C" {
+#include "codec.h"
 #include "counter.h"
 #include "items.h"
 #include "kv.h"
@@ -58,6 +60,7 @@
 		refused_free(&refused);
 	}
 
+      public:
 	bool
 	Worker(const std::string &key, const std::string &text)
 	{
@@ -399,6 +402,140 @@
 		    << job;
 }
 
+// Values of a field that no entry may have, each valid JSON or nearly so.
+static std::vector<std::string>
+OddValues()
+{
+	std::vector<std::string> values = { "-1", "65536", "99999999999",
+		"9223372036854775808", "99999999999999999999", "1e999",
+		"-1e999", "1.5", "\"a\\u0000b\"", "\"\"", "null", "{}", "[]",
+		"\"" + std::string(1 << 20, 'x') + "\"" };
+
+	for (const char *bracket : { "[]", "{}" }) {
+		std::string value = "1", open(1, bracket[0]);
+
+		if (open == "{")
+			open += "\"a\":";
+		std::string head, tail;
+		for (int i = 0; i < 100000; i++) {
+			head += open;
+			tail += bracket[1];
+		}
+		values.push_back(head + value + tail);
+	}
+	return values;
+}
+
+// Guards against one field of an entry that ends the leaders that read it.  A
+// thread with a small stack shows that no parser recurses without bound.
+TEST_F(Foreign, NoFieldOfAnEntryEndsTheProcess)
+{
+	static const char *const fields[] = { "service", "address", "zone",
+		"version", "slots", "state", "cold_remaining_ms", "capacity",
+		"labels", "sequence", "born", "remaining_ms", "clock_ms" };
+	pthread_attr_t attr;
+	pthread_t thread;
+
+	pthread_attr_init(&attr);
+	ASSERT_EQ(pthread_attr_setstacksize(&attr, 2 << 20), 0);
+	auto run = [](void *ctx) -> void * {
+		auto *self = static_cast<Foreign *>(ctx);
+
+		for (const char *field : fields) {
+			for (const auto &value : OddValues()) {
+				std::string text = std::string("{\"") + field +
+				    "\":" + value + "," + (kGood + 1);
+				self->Worker("servers/odd", text);
+				// The last of two counts: put the odd one
+				// there.
+				text = kGood;
+				text.replace(text.size() - 1, 1,
+				    std::string(",\"") + field + "\":" + value +
+					"}");
+				self->Worker("servers/odd", text);
+				EXPECT_TRUE(
+				    self->Worker("servers/good", kGood));
+				ReadReport(std::string("{\"running\":[[") +
+				    value + "]],\"finished\":[" + value + "]}");
+			}
+		}
+		return nullptr;
+	};
+	ASSERT_EQ(pthread_create(&thread, &attr, run, this), 0);
+	pthread_join(thread, nullptr);
+	pthread_attr_destroy(&attr);
+	EXPECT_GE(Refused("not_json"), 1u);
+	EXPECT_GE(Refused("capacity"), 1u);
+}
+
+// Guards against an address that isn't IP:PORT and is called all the same.
+TEST_F(Foreign, AnAddressWithoutAUsablePortNamesNoWorker)
+{
+	for (const char *address : { "1.2.3.4:0", "1.2.3.4:65536",
+		 "1.2.3.4:99999999999", "1.2.3.4:8080x", "1.2.3.4:-1",
+		 "1.2.3.4:+80", "1.2.3.4:", "1.2.3.4", ":80",
+		 "1.2.3.4:18446744073709551617", "1.2.3.4:80\\u0000" })
+		EXPECT_FALSE(Worker("servers/b", With("127.0.0.1:1", address)))
+		    << address;
+	EXPECT_EQ(Refused("address"), 1u);
+	EXPECT_EQ(Refused("not_json"), 1u);
+	EXPECT_TRUE(Worker("servers/b", With("127.0.0.1:1", "1.2.3.4:65535")));
+}
+
+// Guards against a job of another writer whose times overflow, or whose stretch
+// makes its objective one.
+TEST_F(Foreign, AJobOfNumbersOutOfRangeIsRefused)
+{
+	const std::string job =
+	    "{\"id\":\"j\",\"queue\":\"q\",\"terms\":{\"service\":\"s\","
+	    "\"priority\":1,\"max_attempts\":1,\"stretch\":2.5,"
+	    "\"target_ms\":900},\"payload\":\"\",\"submitted_ms\":800,"
+	    "\"repeats\":3,\"first_due_ms\":500,\"every_ms\":600,"
+	    "\"steps\":[{\"count\":1,\"run_ms\":700}]}";
+	auto read = [](const std::string &text) {
+		struct graph *g = codec_read_graph(text.data(), text.size());
+		bool ok = g != nullptr;
+
+		graph_free(g);
+		return ok;
+	};
+
+	ASSERT_TRUE(read(job));
+	for (const char *number :
+	    { "900", "800", "500", "600", "700", "2.5" }) {
+		for (const char *odd : { "-1", "9223372036854775807",
+			 "99999999999999999999", "1e300", "1e999" }) {
+			std::string text = job;
+			text.replace(text.find(number), strlen(number), odd);
+			EXPECT_FALSE(read(text)) << text;
+		}
+	}
+}
+
+// Guards against a stretch that makes the objective of a queue's jobs overflow.
+TEST_F(Foreign, AConfigurationOfAStretchOutOfRangeIsRefused)
+{
+	const struct entry_config *config;
+	int version = 7;
+
+	for (const char *stretch : { "0", "-1", "1e7", "1e300", "1e999",
+		 "99999999999999999999", "\"2\"", "null" }) {
+		std::string text = kConfig;
+		text.replace(text.find("\"max_attempts\":4"), 16,
+		    std::string("\"stretch\":") + stretch);
+		EXPECT_EQ(ops.config(ops.self, "op/config", text.data(),
+			      text.size(), &config),
+		    CONFIG_INVALID)
+		    << stretch;
+	}
+	std::string text = kConfig;
+	text.replace(text.find("\"max_attempts\":4"), 16, "\"stretch\":1e6");
+	text.replace(text.find("7"), 1, std::to_string(version + 1));
+	EXPECT_EQ(ops.config(
+		      ops.self, "op/config", text.data(), text.size(), &config),
+	    CONFIG_NEWER);
+}
+
 TEST_F(Foreign, NoBytesEndTheProcess)
 {
 	std::mt19937 random(4);
