Configuration: refuse lists of another type

Seen: {"version":8,"routes":7} was taken as a newer configuration without routes, and the same with services and limits.

Cause: what is no list has the size 0.

A missing part and null are still empty, as an encoder may write an empty list so.

--- a/tests/test_foreign.cc
+++ b/tests/test_foreign.cc
@@ -536,6 +536,28 @@
 	    CONFIG_NEWER);
 }
 
+// Guards against lists of another type that are taken for empty ones: every
+// route would be gone, and its callers refused.
+TEST_F(Foreign, AConfigurationWhoseListsAreOfAnotherTypeIsRefused)
+{
+	const struct entry_config *config;
+
+	for (const char *list : { "routes", "services", "limits" }) {
+		for (const char *value : { "7", "\"x\"", "true" }) {
+			std::string text = std::string("{\"version\":8,\"") +
+			    list + "\":" + value + "}";
+			EXPECT_EQ(ops.config(ops.self, "op/config", text.data(),
+				      text.size(), &config),
+			    CONFIG_INVALID)
+			    << text;
+		}
+	}
+	const std::string none = "{\"version\":8,\"services\":null}";
+	EXPECT_EQ(ops.config(
+		      ops.self, "op/config", none.data(), none.size(), &config),
+	    CONFIG_NEWER);
+}
+
 TEST_F(Foreign, NoBytesEndTheProcess)
 {
 	std::mt19937 random(4);
