--- a/core/sched_lease.c
+++ b/core/sched_lease.c
@@ -311,6 +311,14 @@
 	    s->opt.lease_ms;
 }
 
+/* What a row of the longest lease tells: only an expiring one bounds it. */
+static int64_t
+longest_lease_start(const struct sched_worker *worker)
+{
+	return worker->record_wanted == RECORD_EXPIRING ? SCHED_START_ANY :
+							  SCHED_START_UNKNOWN;
+}
+
 /* The start to record of a worker that has not answered this leader. */
 static int64_t
 unheard_record_start(const struct sched_worker *worker)
@@ -318,9 +326,7 @@
 	if (worker->inherited == RECORD_NONE)
 		return worker->listed_start_ms;
 	if (worker->inherited_start_ms == SCHED_START_ANY)
-		return worker->record_wanted == RECORD_EXPIRING ?
-		    SCHED_START_ANY :
-		    SCHED_START_UNKNOWN;
+		return longest_lease_start(worker);
 	return worker->inherited_start_ms;
 }
 
@@ -334,9 +340,7 @@
 	 */
 	if (sched_worker_may_hold_longest_lease(worker) &&
 	    (worker->inc.heard_ms == 0 || worker->inc.doubted_ms != 0))
-		return worker->record_wanted == RECORD_EXPIRING ?
-		    SCHED_START_ANY :
-		    SCHED_START_UNKNOWN;
+		return longest_lease_start(worker);
 	if (worker->inc.heard_ms == 0)
 		return unheard_record_start(worker);
 	if (worker->record_wanted != RECORD_EXPIRING &&
