--- a/lagoonpind/main.c
+++ b/lagoonpind/main.c
@@ -16,7 +16,7 @@
  * Bodies that exceed the limit of a record or a call by at most this much
  * are read and refused with a specific error; h2o refuses larger ones.
  */
-#define HEAD_MAX_BYTES (64 * 1024)
+#define HEAD_MAX_BYTES (64 << 10)
 #define BODY_SLACK_BYTES (256 << 10)
 /*
  * By default libcurl keeps four idle connections for each call in flight: an
