Review case 13: a cancelled job is created by a late write

The store leaves the writes of a new job unanswered and carries them out 6 s later. The client gets 504, cancels the job at another entry and gets 410.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -11,7 +11,7 @@
 packages="libbsd-overlay libh2o libuv libzmq jansson msgpack libxxhash libcurl
 gsl libcrypto"
 mkdir -p target/review
-for source in 9/stand 9/call; do
+for source in 9/stand 9/call 13/proxy; do
 	# The lists of flags are meant to be split into words.
 	# shellcheck disable=SC2046,SC2086
 	cc -std=gnu11 -O2 -g -Wall -Wextra -D_GNU_SOURCE -Ilib \
