Review: drop three cases of part one, and renumber the last

The record that outgrows the store (11) is shown by review/4. The gang that isn't started after a kill (12) comes to the fault of review/5 by another way. The cancel that a late write undoes is case 10 now.

The stand-in for the workers loses what only these cases used, and gets racks of two workers and tails of serving tasks. build-3.sh builds into a folder of its own: the builds of the earlier cases use the same names of programs.

--- a/review/9/lib.sh
+++ b/review/9/lib.sh
@@ -1,10 +1,10 @@
-# Functions of the scripts of cases 9 to 13: start a small deployment on
+# Functions of the scripts of cases 9 to 12: start a small deployment on
 # loopback, call it, and end all that was started.  Sourced with $here set to
 # the folder of the case.  Exits with 2 if something can't be started.
 
 set -u
 top=$(cd "$here/../.." && pwd)
-tools=$top/target/review
+tools=$top/target/review-3
 record=$here/record.txt
 work=$(mktemp -d)
 pids=
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -15,14 +15,14 @@
 # Six tasks that last.  Those of a job that can't be done fail after 100 ms.
 lasting()	# JOB FAIL-MS
 {
-	submit 1 "$1" "6400 100 0 $2 -1 0" '{"count":6,"cpu":6400,
+	submit 1 "$1" "6400 100 0 $2 -1" '{"count":6,"cpu":6400,
 	    "mem_mb":100,"estimated_ms":320,"long_running":true}'
 }
 
 # Six tasks of 0.8 s.
 short()	# NUMBER
 {
-	submit 2 "$(id_of "$1")" "1000 100 800 0 0 0" '{"count":6,"cpu":1000,
+	submit 2 "$(id_of "$1")" "1000 100 800 0 0" '{"count":6,"cpu":1000,
 	    "mem_mb":100,"estimated_ms":800}' >/dev/null
 }
 
