Review: bound the scripts, and run all of them again

No script had a bound of its own, and the last loop of case 9 could have taken minutes if an entry hung. A run is ended after 110 s now, with 2.

--- a/review/9/lib.sh
+++ b/review/9/lib.sh
@@ -3,6 +3,13 @@
 # the folder of the case.  Exits with 2 if something can't be started.
 
 set -u
+# A run is ended after this time, with 2: a script may take 120 s at most.
+limit_s=${LIMIT_S:-110}
+if [ -z "${LIMITED:-}" ]; then
+	LIMITED=1
+	export LIMITED
+	exec timeout --preserve-status -k 5 "$limit_s" sh "$0"
+fi
 top=$(cd "$here/../.." && pwd)
 tools=$top/target/review-3
 record=$here/record.txt
