Write a tombstone before a cancel of an unknown job is answered

Cause: the leader answered the cancel on the strength of two reads that found nothing, and wrote nothing. The creation requires only that the job's two keys are absent, and they still were when the write was carried out. The store held neither key between the answer and the late write; no write was sent after it.

The leader now writes a tombstone as the record of the job's end, on the condition that neither key exists and that it still leads, and answers then. Either the creation comes first, and the cancel finds the job, or the creation fails whenever it is carried out, under any leader. Tombstones aren't shown: their job is answered with 410, a submission of it is refused with 503. All readers of that key go through one function that tells an end from a tombstone and from an item of another writer; accept.c took any item for the proof that the job had been accepted.

--- a/bench/lead_cost.c
+++ b/bench/lead_cost.c
@@ -94,6 +94,13 @@
 	(void)s, (void)job, (void)ctx;
 }
 
+static bool
+on_forget(struct sched *s, const char *job, void *ctx)
+{
+	(void)s, (void)job, (void)ctx;
+	return true;
+}
+
 static void
 on_lapsed(struct sched *s, struct sched_worker *worker, size_t n, void *ctx)
 {
@@ -133,7 +140,7 @@
 
 static const struct sched_actions actions = { on_start, on_stop, on_pace,
 	on_look, on_record, on_job, on_lapsed, on_lost, on_record, on_save,
-	on_job, on_deposed, on_no_room };
+	on_forget, on_deposed, on_no_room };
 
 static void
 add_job(struct fleet *f)
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -92,9 +92,14 @@
 {
 	struct sched_job *job;
 
+	job = sched_job_find(s, id);
+	if (job != NULL && job->absent)
+		job_discard(s, job);
 	job = sched_job_add_ended(s, id, JOB_CANCELLED, now_ms);
-	if (job != NULL)
-		job->absent = true;
+	if (job == NULL)
+		return;
+	job->absent = true;
+	s->nabsent++;
 }
 
 bool
@@ -624,6 +629,8 @@
 		TAILQ_REMOVE(&s->dirty, job, dirty_link);
 	if (job->in_ended && job->graph != NULL)
 		TAILQ_REMOVE(&s->ending, job, ending_link);
+	if (job->absent)
+		s->nabsent--;
 	job_free_body(job);
 	free(job);
 }
@@ -659,7 +666,8 @@
 			break;
 		if (job->graph != NULL || job->saved < job->change)
 			continue;
-		s->opt.actions->forget(s, job->id, s->opt.ctx);
+		if (!s->opt.actions->forget(s, job->id, s->opt.ctx))
+			break;
 		job_discard(s, job);
 	}
 }
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -523,8 +523,11 @@
 	void (*forget_worker)(struct sched *, struct sched_worker *, void *ctx);
 	/* Jobs wait to be saved: see sched_next_dirty(). */
 	void (*save)(struct sched *, void *ctx);
-	/* The ended job has passed keep_ms: remove it from the store. */
-	void (*forget)(struct sched *, const char *job, void *ctx);
+	/*
+	 * The ended job has passed keep_ms: remove it from the store.  Returns
+	 * false if that isn't possible now; the job is then kept a while.
+	 */
+	bool (*forget)(struct sched *, const char *job, void *ctx);
 	/* A worker has seen a higher term: send nothing more. */
 	void (*deposed)(struct sched *, void *ctx);
 	/*
@@ -609,6 +612,7 @@
 	struct sched_job_tree jobs;
 	struct sched_jobs open;
 	struct sched_jobs ended; /* oldest first */
+	uint32_t nabsent; /* of these, marks of jobs that aren't stored */
 	struct sched_jobs dirty;
 	struct sched_jobs ending; /* ended, their tasks not freed yet */
 	struct sched_worker_tree workers;
@@ -674,7 +678,10 @@
 struct sched_job *sched_job_add_ended(
     struct sched *, const char *id, enum sched_job_state, int64_t ended_ms);
 void sched_job_remove(struct sched *, struct sched_job *);
-/* The store has no such job: its runs are stopped. */
+/*
+ * The store has no such job: its runs are stopped.  The mark is kept for
+ * keep_ms, like an ended job, from the last call on.
+ */
 void sched_job_add_absent(struct sched *, const char *id, int64_t now_ms);
 struct sched_job *sched_job_find(struct sched *, const char *id);
 /* Load what a former leader saved, before the first sched_act(). */
--- a/entry/accept.c
+++ b/entry/accept.c
@@ -248,10 +248,34 @@
 	accept_tick(a, now_ms);
 }
 
-/* Process the read of a key of a job without room. */
+/* The store has a record under KEY_ENDED for the job. */
 static void
-handle_read(struct new_job *job, const struct kv_result *result,
-    void (*on_absent)(struct new_job *))
+finish_ended(struct new_job *job, const struct kv_item *item)
+{
+	enum sched_job_state state;
+	struct node *node;
+
+	node = job->accept->node;
+	switch (ended_read(node, item, &state)) {
+	case ENDED_STATE:
+		finish(job, NODE_ACCEPTED, "stored_before", 0);
+		break;
+	case ENDED_TOMBSTONE:
+		/* Also earlier writes of it find the tombstone. */
+		finish(job, NODE_NOT_DONE, "cancelled", node->opt.keep_ms);
+		break;
+	case ENDED_INVALID:
+		fail(job, "store_refused");
+		break;
+	}
+}
+
+/*
+ * Process the read of a key of a job without room.  Returns false if the job
+ * has been handled: the read failed, or nobody waits for it any more.
+ */
+static bool
+read_succeeded(struct new_job *job, const struct kv_result *result)
 {
 	struct accept *a;
 
@@ -265,17 +289,9 @@
 	else if (result->error != KV_OK) {
 		job->refusal = NULL;
 		submit(a, job);
-	} else if (result->nitems > 0)
-		finish(job, NODE_ACCEPTED, "stored_before", 0);
-	else
-		on_absent(job);
-	accept_release(a);
-}
-
-static void
-read_ended(struct new_job *job)
-{
-	read_key(job, KEY_ENDED, on_ended_read);
+	} else
+		return true;
+	return false;
 }
 
 static void
@@ -287,13 +303,35 @@
 static void
 on_job_read(const struct kv_result *result, void *ctx)
 {
-	handle_read(ctx, result, read_ended);
+	struct new_job *job;
+	struct accept *a;
+
+	job = ctx;
+	a = job->accept;
+	if (read_succeeded(job, result)) {
+		if (result->nitems > 0)
+			finish(job, NODE_ACCEPTED, "stored_before", 0);
+		else
+			read_key(job, KEY_ENDED, on_ended_read);
+	}
+	accept_release(a);
 }
 
 static void
 on_ended_read(const struct kv_result *result, void *ctx)
 {
-	handle_read(ctx, result, refuse);
+	struct new_job *job;
+	struct accept *a;
+
+	job = ctx;
+	a = job->accept;
+	if (read_succeeded(job, result)) {
+		if (result->nitems > 0)
+			finish_ended(job, &result->items[0]);
+		else
+			refuse(job);
+	}
+	accept_release(a);
 }
 
 static struct new_job *
@@ -474,24 +512,6 @@
 	}
 }
 
-/* Whether the compared keys show that the job is already stored. */
-static bool
-is_stored(const struct new_job *job, const struct kv_result *result)
-{
-	const char *key;
-	size_t i;
-
-	for (i = 0; i < result->nitems; i++) {
-		key = result->items[i].key;
-		if (result->items[i].revision > 0 &&
-		    (strncmp(key, KEY_JOB, strlen(KEY_JOB)) == 0 ||
-			strncmp(key, KEY_ENDED, strlen(KEY_ENDED)) == 0) &&
-		    strcmp(key + strlen(KEY_JOB), job->id) == 0)
-			return true;
-	}
-	return false;
-}
-
 static void
 retry(struct accept *a, struct new_job *job, int64_t delay_ms)
 {
@@ -507,6 +527,26 @@
 	TAILQ_INSERT_TAIL(&a->waiting, job, link);
 }
 
+/* A key of this job exists, or of another one in the same write. */
+static void
+handle_conflict(
+    struct accept *a, struct new_job *job, const struct kv_result *result)
+{
+	const struct kv_item *ended;
+
+	if (job_record_compared(result, KEY_JOB, job->id) != NULL) {
+		finish(job, NODE_ACCEPTED, "stored_before", 0);
+		return;
+	}
+	ended = job_record_compared(result, KEY_ENDED, job->id);
+	if (ended != NULL) {
+		finish_ended(job, ended);
+		return;
+	}
+	job->alone = true;
+	retry(a, job, 0);
+}
+
 static void
 handle_result(
     struct accept *a, struct new_job *job, const struct kv_result *result)
@@ -516,12 +556,7 @@
 		finish_accepted(a, job, result->revision);
 		break;
 	case KV_CONFLICT:
-		if (is_stored(job, result)) {
-			finish(job, NODE_ACCEPTED, "stored_before", 0);
-			break;
-		}
-		job->alone = true;
-		retry(a, job, 0);
+		handle_conflict(a, job, result);
 		break;
 	case KV_UNKNOWN:
 		job->outcome_unknown = true;
--- a/entry/codec.c
+++ b/entry/codec.c
@@ -283,37 +283,63 @@
 	    get_text(object, "image", step->image, sizeof(step->image));
 }
 
-char *
-codec_ended(enum sched_job_state state, int64_t ended_ms, size_t *len)
+/* Earlier versions take a record of this state for invalid: no such job. */
+#define STATE_TOMBSTONE "tombstone"
+
+static char *
+dump_ended(const char *state, int64_t ended_ms, size_t *len)
 {
 	json_t *object;
 
-	object = json_pack("{ss}", "state", sched_job_state_name(state));
+	object = json_pack("{ss}", "state", state);
 	if (object != NULL)
 		set_number(object, "ended_ms", ended_ms);
 	return codec_dump(object, len);
 }
 
-int
+char *
+codec_ended(enum sched_job_state state, int64_t ended_ms, size_t *len)
+{
+	return dump_ended(sched_job_state_name(state), ended_ms, len);
+}
+
+char *
+codec_tombstone(int64_t written_ms, size_t *len)
+{
+	return dump_ended(STATE_TOMBSTONE, written_ms, len);
+}
+
+static enum ended_record
+find_ended(const char *name, enum sched_job_state *state)
+{
+	static const enum sched_job_state ends[] = { JOB_COMPLETED, JOB_FAILED,
+		JOB_CANCELLED };
+	size_t i;
+
+	if (strcmp(name, STATE_TOMBSTONE) == 0)
+		return ENDED_TOMBSTONE;
+	for (i = 0; i < sizeof(ends) / sizeof(ends[0]); i++) {
+		if (strcmp(name, sched_job_state_name(ends[i])) != 0)
+			continue;
+		*state = ends[i];
+		return ENDED_STATE;
+	}
+	return ENDED_INVALID;
+}
+
+enum ended_record
 codec_read_ended(const char *text, size_t len, enum sched_job_state *state)
 {
+	enum ended_record record;
 	const char *name;
 	json_t *object;
-	int found;
 
-	found = -1;
 	if ((object = json_loadb(text, len, 0, NULL)) == NULL)
-		return -1;
+		return ENDED_INVALID;
 	name = json_string_value(json_object_get(object, "state"));
-	for (*state = JOB_COMPLETED; name != NULL && *state <= JOB_CANCELLED;
-	     (*state)++) {
-		if (strcmp(name, sched_job_state_name(*state)) == 0) {
-			found = 0;
-			break;
-		}
-	}
+	record = name == NULL ? ENDED_INVALID : find_ended(name, state);
 	json_decref(object);
-	return found;
+	return record;
 }
 
 int64_t
--- a/entry/codec.h
+++ b/entry/codec.h
@@ -45,11 +45,24 @@
 /* Add them to those that are loaded.  Returns -1 if the object is invalid. */
 int codec_read_losses(struct sched_job *, const json_t *);
 
+/* What the record of an ended job says. */
+enum ended_record {
+	ENDED_INVALID, /* another writer's, or damaged */
+	ENDED_STATE, /* how the job ended */
+	ENDED_TOMBSTONE /* no such job was stored, and none may be */
+};
+
 /* ended_ms: when the job ended, in ms since 1970; 0 if unknown. */
 char *codec_ended(enum sched_job_state, int64_t ended_ms, size_t *len);
-/* Returns -1 if the text is invalid. */
-int codec_read_ended(const char *, size_t len, enum sched_job_state *);
-/* Returns 0 if the text is invalid or of a version that didn't write it. */
+/* The record of a job that doesn't exist; written_ms: in ms since 1970. */
+char *codec_tombstone(int64_t written_ms, size_t *len);
+/* The state is set for ENDED_STATE only. */
+enum ended_record codec_read_ended(
+    const char *, size_t len, enum sched_job_state *);
+/*
+ * When the job ended, or the tombstone was written.  Returns 0 if the text is
+ * invalid or of a version that didn't write it.
+ */
 int64_t codec_read_ended_ms(const char *, size_t len);
 
 #endif /* CODEC_H */
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -207,6 +207,7 @@
 	l->tick_ms = l->opened_ms;
 	TAILQ_INIT(&l->progresses);
 	TAILQ_INIT(&l->pending_replies);
+	TAILQ_INIT(&l->tombstones);
 	list_options.report_ms = node->opt.worker_report_ms;
 	list_options.apply_ms = node->opt.list_apply_ms;
 	listsync_init(&l->listsync, &list_options);
@@ -275,6 +276,7 @@
 		LIST_REMOVE(unknown, link);
 		free(unknown);
 	}
+	tombstone_close(l);
 	load_free(l);
 	RB_FOREACH (job, sched_job_tree, &l->sched->jobs) {
 		free(job->data);
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -44,6 +44,9 @@
 };
 LIST_HEAD(unknown_jobs, unknown_job);
 
+struct tombstone_request;
+TAILQ_HEAD(tombstone_requests, tombstone_request);
+
 #define EXPIRED_JOBS_MAX 256
 
 /* State of the sweep of ended jobs' records. */
@@ -110,6 +113,10 @@
 	uint32_t room_unknown; /* workers with entries that are too old */
 	int64_t entries_old_ms; /* since when there are any */
 	struct unknown_jobs unknown_jobs; /* looked up in the store */
+	struct tombstone_requests tombstones; /* not written yet */
+	size_t ntombstones; /* of these */
+	bool tombstones_in_flight;
+	int64_t tombstones_ms; /* no write before */
 	/* ended jobs whose records may be removed */
 	char expired_jobs[EXPIRED_JOBS_MAX][GRAPH_ID_MAX];
 	size_t nexpired_jobs;
@@ -144,6 +151,24 @@
 /* A worker lists a job that isn't known: look it up in the store. */
 void lead_unknown_job(struct sched *, const char *id, void *ctx);
 
+/* lead_tombstone.c */
+enum tombstone_result {
+	TOMBSTONE_WRITTEN, /* the job doesn't exist, and won't */
+	TOMBSTONE_FOUND, /* the store has a record of the job by now */
+	TOMBSTONE_FAILED, /* nothing is known: ask again */
+	TOMBSTONE_FULL /* too many are kept: nothing was done */
+};
+typedef void tombstone_done(enum tombstone_result, void *ctx);
+/*
+ * Write that a job which the store doesn't have may not be created any more.
+ * The callback is called once, from within this function if the result is
+ * TOMBSTONE_FULL.
+ */
+void tombstone_add(struct lead *, const char *job, tombstone_done *, void *ctx);
+void tombstone_tick(struct lead *, int64_t now_ms);
+/* Calls the callbacks of those not written with TOMBSTONE_FAILED. */
+void tombstone_close(struct lead *);
+
 /* lead_load.c */
 void load_start(struct lead *);
 /* Completes the load once all parts and the configuration have been read. */
@@ -152,7 +177,7 @@
 
 /* lead_save.c */
 void save_schedule(struct sched *, void *ctx);
-void save_job_expired(struct sched *, const char *job, void *ctx);
+bool save_job_expired(struct sched *, const char *job, void *ctx);
 void save_tick(struct lead *, int64_t now_ms);
 /* The condition of a write that the leader record still has our revision. */
 void save_compare_leader(const struct lead *, struct kv_compare *);
--- a/entry/lead_request.c
+++ b/entry/lead_request.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "counter.h"
 #include "lead_int.h"
 #include "log.h"
 
@@ -12,6 +13,8 @@
 
 /* Time limit of storing a job for an entry that can't reach the store. */
 #define STORE_REQUEST_MS 1200
+/* Retry-after time for cancels of unknown jobs while there are too many. */
+#define FULL_RETRY_AFTER_MS 5000
 
 /* Finds a job, but not a mark that there is none. */
 static struct sched_job *
@@ -30,6 +33,7 @@
 	struct exchange_id id;
 	char from[ELECT_ID_MAX];
 	bool worker_asks; /* a worker lists the job */
+	bool occupied; /* one of its keys has an item, which is no job */
 	lead_answered *answered;
 	void *ctx;
 };
@@ -115,43 +119,105 @@
 	free(lookup);
 }
 
+static void look_up(struct lookup *);
+
 static void
-on_ended_read(const struct kv_result *result, void *ctx)
+answer_unknown(const struct lookup *lookup)
+{
+	answer(lookup, NODE_UNKNOWN_JOB, JOB_QUEUED);
+}
+
+static void
+answer_full(const struct lookup *lookup)
+{
+	struct node_reply reply;
+
+	memset(&reply, 0, sizeof(reply));
+	reply.outcome = NODE_NOT_DONE;
+	reply.retry_after_ms = FULL_RETRY_AFTER_MS;
+	reply.reason = "tombstones_full";
+	counter_inc_reason("lagoonpin_cancel_refused", reply.reason);
+	lookup->answered(&reply, &lookup->id, lookup->from, lookup->ctx);
+}
+
+static void
+on_tombstone(enum tombstone_result result, void *ctx)
 {
-	enum sched_job_state state;
 	struct lookup *lookup;
-	struct sched_job *job;
-	struct lead *l;
 
 	lookup = ctx;
-	l = lookup->lead;
-	/* Without an answer the entry repeats the request. */
-	if (l->closed || result->error != KV_OK)
-		goto out;
-	if (result->nitems == 0) {
-		if (lookup->worker_asks &&
-		    sched_job_find(l->sched, lookup->job) == NULL)
-			sched_job_add_absent(
-			    l->sched, lookup->job, clock_now_ms());
-		answer(lookup, NODE_UNKNOWN_JOB, JOB_QUEUED);
-		goto out;
+	switch (result) {
+	case TOMBSTONE_WRITTEN:
+		answer_unknown(lookup);
+		break;
+	case TOMBSTONE_FOUND:
+		look_up(lookup);
+		return;
+	case TOMBSTONE_FULL:
+		answer_full(lookup);
+		break;
+	case TOMBSTONE_FAILED:
+		break; /* the entry repeats the request */
 	}
-	if (codec_read_ended(
-		result->items[0].value, result->items[0].len, &state) == -1) {
-		/* An item of another writer: nothing else knows the job. */
-		refused_note(
-		    &l->node->refused, result->items[0].key, "not_an_end");
-		answer(lookup, NODE_UNKNOWN_JOB, JOB_QUEUED);
-		goto out;
+	lookup_end(lookup);
+}
+
+/* The store has no job: nothing, a tombstone, or items of other writers. */
+static void
+handle_absent(struct lookup *lookup)
+{
+	struct lead *l;
+
+	l = lookup->lead;
+	if (lookup->worker_asks &&
+	    sched_job_find(l->sched, lookup->job) == NULL)
+		sched_job_add_absent(l->sched, lookup->job, clock_now_ms());
+	if (lookup->kind == LEADER_REQUEST_CANCEL && !lookup->occupied) {
+		tombstone_add(l, lookup->job, on_tombstone, lookup);
+		return;
 	}
+	answer_unknown(lookup);
+	lookup_end(lookup);
+}
+
+static void
+handle_ended(struct lookup *lookup, enum sched_job_state state)
+{
+	struct sched_job *job;
+	struct lead *l;
+
+	l = lookup->lead;
 	job = known_job(l, lookup->job);
 	if (job == NULL)
 		job = sched_job_add_ended(
 		    l->sched, lookup->job, state, clock_now_ms());
 	if (job != NULL)
 		answer_known(lookup, job);
-out:
-	lookup_end(lookup);
+}
+
+static void
+on_ended_read(const struct kv_result *result, void *ctx)
+{
+	enum sched_job_state state;
+	struct lookup *lookup;
+	struct lead *l;
+
+	lookup = ctx;
+	l = lookup->lead;
+	if (l->closed || result->error != KV_OK) {
+		/* Without an answer the entry repeats the request. */
+		lookup_end(lookup);
+		return;
+	}
+	if (result->nitems > 0 &&
+	    ended_read(l->node, &result->items[0], &state) == ENDED_STATE) {
+		handle_ended(lookup, state);
+		lookup_end(lookup);
+		return;
+	}
+	if (result->nitems > 0)
+		lookup->occupied = true;
+	handle_absent(lookup);
 }
 
 static void
@@ -171,6 +237,7 @@
 	job = known_job(l, lookup->job);
 	if (job == NULL && result->nitems > 0)
 		job = lead_add_stored_job(l, &result->items[0], false);
+	lookup->occupied = result->nitems > 0;
 	if (job != NULL) {
 		answer_known(lookup, job);
 		lead_wakeup(l);
@@ -181,7 +248,10 @@
 	l->node->opt.kv.get(l->node->opt.kv.self, key, on_ended_read, lookup);
 }
 
-/* A job unknown here may just have been accepted by another entry. */
+/*
+ * A job unknown here may just have been accepted by another entry.  The lookup
+ * holds a reference to the lead.
+ */
 static void
 look_up(struct lookup *lookup)
 {
@@ -189,7 +259,6 @@
 	struct lead *l;
 
 	l = lookup->lead;
-	lead_ref(l);
 	snprintf(key, sizeof(key), KEY_JOB "%s", lookup->job);
 	l->node->opt.kv.get(l->node->opt.kv.self, key, on_job_read, lookup);
 }
@@ -281,6 +350,7 @@
 	log_info("job_unknown", "job=%s", id);
 	strlcpy(unknown->id, id, sizeof(unknown->id));
 	LIST_INSERT_HEAD(&l->unknown_jobs, unknown, link);
+	lead_ref(l);
 	lookup->lead = l;
 	lookup->kind = LEADER_REQUEST_STATE;
 	strlcpy(lookup->job, id, sizeof(lookup->job));
@@ -323,5 +393,6 @@
 	if ((lookup = malloc(sizeof(*lookup))) == NULL)
 		return;
 	*lookup = local;
+	lead_ref(l);
 	look_up(lookup);
 }
--- a/entry/lead_save.c
+++ b/entry/lead_save.c
@@ -410,23 +410,21 @@
 	size_t n;
 };
 
-void
+bool
 save_job_expired(struct sched *s, const char *job, void *ctx)
 {
 	struct sched_job *known;
 	struct lead *l;
 
 	l = ctx;
+	if (l->nexpired_jobs == EXPIRED_JOBS_MAX)
+		return false; /* until records have been removed */
 	if ((known = sched_job_find(s, job)) != NULL) {
 		free(known->data);
 		known->data = NULL;
 	}
-	if (l->nexpired_jobs == EXPIRED_JOBS_MAX) {
-		/* Its small record stays until the sweep. */
-		counter_inc_reason("lagoonpin_forget_skipped", "full");
-		return;
-	}
 	strlcpy(l->expired_jobs[l->nexpired_jobs++], job, GRAPH_ID_MAX);
+	return true;
 }
 
 static void
@@ -491,6 +489,7 @@
 	if (l->closed || !l->ready)
 		return;
 	save_jobs(l, now_ms);
+	tombstone_tick(l, now_ms);
 	lead_record_tick(l, now_ms);
 	remove_expired(l, now_ms);
 }
--- a/entry/lead_sweep.c
+++ b/entry/lead_sweep.c
@@ -38,6 +38,11 @@
  * deadline, and a write that is under way then takes effect within seconds,
  * which the margin covers.  Removal of expired jobs (save_job_expired) relies
  * on the same.
+ *
+ * All of this holds for tombstones (lead_tombstone.c), with the time at which
+ * they were written in place of the end: the submissions that they hold off
+ * were sent before the cancel, and the leader that wrote one has an absent mark
+ * of its job for the keep time.
  */
 
 /* Clocks of entries differ by seconds and may step; a late write adds some. */
--- a/entry/leader_request.c
+++ b/entry/leader_request.c
@@ -309,16 +309,11 @@
 	req = ctx;
 	if (read_failed(req, result))
 		return;
-	if (result->nitems == 0)
-		finish_from_store(req, NODE_UNKNOWN_JOB, JOB_QUEUED);
-	else if (codec_read_ended(
-		     result->items[0].value, result->items[0].len, &state) == 0)
+	if (result->nitems > 0 &&
+	    ended_read(req->node, &result->items[0], &state) == ENDED_STATE)
 		finish_from_store(req, NODE_STATE, state);
-	else {
-		refused_note(
-		    &req->node->refused, result->items[0].key, "not_an_end");
+	else
 		finish_from_store(req, NODE_UNKNOWN_JOB, JOB_QUEUED);
-	}
 }
 
 static void
--- a/entry/node_int.h
+++ b/entry/node_int.h
@@ -23,7 +23,7 @@
 #define KEY_MAX 201 /* with the NUL */
 #define KEY_JOB "lp/j/" /* + job: as submitted */
 #define KEY_PROGRESS "lp/p/" /* + job: ends, failures, checkpoints */
-#define KEY_ENDED "lp/e/" /* + job: final state */
+#define KEY_ENDED "lp/e/" /* + job: final state, or a tombstone */
 #define KEY_LEADER "lp/leader" /* the leader and its term */
 #define KEY_PULSE "lp/pulse" /* heartbeat of the leader */
 #define KEY_LEARNT "lp/learnt" /* learned interference effects */
@@ -274,6 +274,17 @@
 void election_write_record(
     struct elect *, uint64_t term, int64_t revision, void *);
 
+/* job_record.c: records of jobs in the store */
+/*
+ * What the item under KEY_ENDED says; one that says nothing is noted as
+ * refused.
+ */
+enum ended_record ended_read(
+    struct node *, const struct kv_item *, enum sched_job_state *);
+/* The job's key among those that a write compared; NULL: it doesn't exist. */
+const struct kv_item *job_record_compared(
+    const struct kv_result *, const char *prefix, const char *job);
+
 /* lead.c: the leader */
 struct lead *lead_open(struct node *);
 void lead_close(struct lead *);
--- a/tests/handover_fixture.h
+++ b/tests/handover_fixture.h
@@ -34,6 +34,20 @@
 	int64_t revision;
 };
 
+// A conditional write to the store.
+struct Write {
+	std::vector<std::pair<std::string, int64_t>> compares;
+	std::vector<std::pair<std::string, std::string>> puts;
+	std::vector<std::string> removes;
+
+	bool
+	CreatesAJob() const
+	{
+		return !puts.empty() &&
+		    puts[0].first.compare(0, 5, "lp/j/") == 0;
+	}
+};
+
 struct Run {
 	uint32_t attempt;
 	int64_t since_ms;
@@ -97,6 +111,8 @@
 	// of workers fail after their time.
 	bool watch_hangs = false;
 	bool reads_hang = false;
+	// Writes that create jobs get no answer; CarryOutCreates() does them.
+	bool creates_late = false;
 	int64_t failed_ms = 0;
 	// Calls that a silent store hasn't answered; empty once it has failed.
 	std::vector<std::shared_ptr<std::function<void()>>> silent;
@@ -452,6 +468,14 @@
 	void
 	Submit(const std::string &id, uint32_t count, int64_t cpu = 1000,
 	    int64_t run_ms = 0)
+	{
+		SubmitAt(nodes.front(), id, count, cpu, run_ms);
+	}
+
+	// The same through this entry.
+	void
+	SubmitAt(struct node *node, const std::string &id, uint32_t count,
+	    int64_t cpu = 1000, int64_t run_ms = 0)
 	{
 		struct graph *g = graph_new(1);
 
@@ -466,8 +490,7 @@
 		task_cpu[id] = cpu;
 		if (run_ms > 0)
 			run_times[id] = run_ms;
-		node_submit(
-		    nodes.front(), g, clock_now_ms() + 3000, Replied, this);
+		node_submit(node, g, clock_now_ms() + 3000, Replied, this);
 	}
 
 	// Starts one leader and one worker, which runs this many long-running
@@ -723,29 +746,32 @@
 	{
 		Client *client = Store(ctx);
 		Handover *self = client->world;
-		std::vector<std::pair<std::string, int64_t>> compares;
-		std::vector<std::pair<std::string, std::string>> puts;
-		std::vector<std::string> removes;
+		Write write;
 
 		if (self->IsSilent(client, done, done_ctx, KV_UNKNOWN))
 			return;
 		for (size_t i = 0; i < txn->ncompares; i++)
-			compares.emplace_back(
+			write.compares.emplace_back(
 			    txn->compares[i].key, txn->compares[i].revision);
 		for (size_t i = 0; i < txn->nputs; i++)
-			puts.emplace_back(txn->puts[i].key,
+			write.puts.emplace_back(txn->puts[i].key,
 			    std::string(txn->puts[i].value, txn->puts[i].len));
 		for (size_t i = 0; i < txn->nremoves; i++)
-			removes.emplace_back(txn->removes[i]);
+			write.removes.emplace_back(txn->removes[i]);
+		if (client->creates_late && write.CreatesAJob()) {
+			self->late_creates.push_back(write);
+			self->FailLater(client, done, done_ctx, KV_UNKNOWN,
+			    kStoreTimeoutMs);
+			return;
+		}
 		int64_t delay_ms = kOneWayMs;
-		for (auto &[key, value] : puts) {
+		for (auto &[key, value] : write.puts) {
 			if (key.compare(0, 5, "lp/p/") == 0 ||
 			    key.compare(0, 5, "lp/e/") == 0)
 				delay_ms = self->save_delay_ms;
 		}
 		self->At(delay_ms, [=] {
 			std::vector<std::string> keys;
-			bool holds = true;
 			if (self->store_down || client->rejected ||
 			    (self->closing && delay_ms > kOneWayMs)) {
 				self->Reply(
@@ -753,34 +779,51 @@
 				return;
 			}
 			enum kv_error error = KV_OK;
-			if (self->before_removal != nullptr && puts.empty() &&
-			    !removes.empty())
-				error = self->before_removal(removes);
+			if (self->before_removal != nullptr &&
+			    write.puts.empty() && !write.removes.empty())
+				error = self->before_removal(write.removes);
 			if (error == KV_UNAVAILABLE) {
 				self->Reply(client, done, done_ctx, error, {});
 				return;
 			}
-			for (auto &[key, at] : compares) {
-				auto found = self->items.find(key);
-				keys.push_back(key);
-				if ((found == self->items.end() ?
-					    0 :
-					    found->second.revision) != at)
-					holds = false;
-			}
-			if (!holds) {
-				self->Reply(
-				    client, done, done_ctx, KV_CONFLICT, keys);
+			if (self->CarryOut(write)) {
+				self->Reply(client, done, done_ctx, error, {});
 				return;
 			}
-			self->revision++;
-			for (auto &[key, value] : puts)
-				self->items[key] = { value, self->revision };
-			for (auto &key : removes)
-				self->items.erase(key);
-			self->Reply(client, done, done_ctx, error, {});
+			for (auto &[key, at] : write.compares)
+				keys.push_back(key);
+			self->Reply(client, done, done_ctx, KV_CONFLICT, keys);
 		});
 	}
+
+	// Does the write if its condition holds.
+	bool
+	CarryOut(const Write &write)
+	{
+		for (auto &[key, at] : write.compares) {
+			auto found = items.find(key);
+			if ((found == items.end() ?
+				    0 :
+				    found->second.revision) != at)
+				return false;
+		}
+		revision++;
+		for (auto &[key, value] : write.puts)
+			items[key] = { value, revision };
+		for (auto &key : write.removes)
+			items.erase(key);
+		return true;
+	}
+
+	// The writes without an answer reach the store, in their order.
+	void
+	CarryOutCreates()
+	{
+		for (auto &write : late_creates)
+			CarryOut(write);
+		late_creates.clear();
+	}
+
 	static int64_t
 	AnsweredMs(void *ctx)
 	{
@@ -1036,6 +1079,7 @@
 	static void
 	Replied(const struct node_reply *reply, void *ctx)
 	{
+		Self(ctx)->replies.push_back(*reply);
 		if (reply->outcome == NODE_ACCEPTED)
 			Self(ctx)->accepted++;
 		if (reply->outcome == NODE_NOT_DONE) {
@@ -1071,6 +1115,7 @@
 	std::map<struct node *, std::string> client_of;
 	std::vector<std::function<void()>> hanging; // calls without an answer
 	std::map<std::string, Item> items;
+	std::vector<Write> late_creates; // not carried out yet
 	int64_t revision = 1;
 	std::map<std::string, Worker> workers;
 	std::multimap<int64_t, std::function<void()>> events;
@@ -1091,6 +1136,7 @@
 	// On workers that don't guard it, after the bound on its change.
 	int starts_over_room = 0;
 	int64_t retry_after_ms = 0; // of the last refusal
+	std::vector<struct node_reply> replies;
 
 	// The users' limit on the absence of a long-running task.
 	static constexpr int64_t kAbsenceMaxMs = 9000;
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -294,9 +294,10 @@
 	OnSave(struct sched *, void *)
 	{
 	}
-	static void
-	OnForget(struct sched *, const char *, void *)
+	static bool
+	OnForget(struct sched *, const char *, void *ctx)
 	{
+		return Self(ctx)->forgets;
 	}
 	static void
 	OnNoRoom(struct sched *, struct sched_worker *w, bool over, void *ctx)
@@ -324,6 +325,7 @@
 	// Wait time of the last poll, by worker.
 	std::map<std::string, int64_t> poll_waits;
 	bool deposed = false, store_slow = false, store_saves = true;
+	bool forgets = true; // jobs past their keep time can be removed
 	// Lease end sent by the last poll, on the worker's clock; 0: none.
 	int64_t renewed = 0;
 };
--- a/tests/sched_world.cc
+++ b/tests/sched_world.cc
@@ -93,9 +93,10 @@
 	LeaderOf(ctx)->world->Save(LeaderOf(ctx));
 }
 
-void
+bool
 OnForget(struct sched *, const char *, void *)
 {
+	return true;
 }
 
 void
--- a/tests/test_accept.cc
+++ b/tests/test_accept.cc
@@ -111,13 +111,16 @@
 	}
 
 	void
-	AnswerRead()
+	AnswerRead(enum kv_error error = KV_UNAVAILABLE,
+	    const std::vector<struct kv_item> &items = {})
 	{
 		Call call = reads.front();
 		reads.pop_front();
 		struct kv_result result;
 		memset(&result, 0, sizeof(result));
-		result.error = KV_UNAVAILABLE;
+		result.error = error;
+		result.items = items.data();
+		result.nitems = items.size();
 		call.done(&result, call.ctx);
 	}
 
@@ -191,6 +194,12 @@
 		Self(ctx)->replies.push_back(*reply);
 	}
 
+	static struct kv_item
+	Record(const char *key, const char *text)
+	{
+		return { key, text, strlen(text), 5 };
+	}
+
 	uv_loop_t loop;
 	struct node *node = nullptr;
 	std::deque<Call> reads, writes;
@@ -374,3 +383,64 @@
 	ASSERT_EQ(replies.size(), 1u);
 	EXPECT_EQ(replies[0].outcome, NODE_NO_ANSWER);
 }
+
+// Guards against a cancelled job that is told to be accepted: its write finds
+// the tombstone, which also holds off the earlier write without an answer.
+TEST_F(Accept, ATombstoneIsARefusal)
+{
+	struct kv_item tombstone =
+	    Record("lp/e/a", "{\"state\":\"tombstone\",\"ended_ms\":7}");
+
+	Submit("a", 3000);
+	AnswerWrite(KV_UNKNOWN);
+	Advance(20);
+	AnswerWrite(KV_CONFLICT, { tombstone });
+	ASSERT_EQ(replies.size(), 1u);
+	EXPECT_EQ(replies[0].outcome, NODE_NOT_DONE);
+	EXPECT_STREQ(replies[0].reason, "cancelled");
+}
+
+// The same for a job without room, which is only looked up.
+TEST_F(Accept, ATombstoneOfAJobWithoutRoomIsARefusal)
+{
+	struct kv_item tombstone =
+	    Record("lp/e/a", "{\"state\":\"tombstone\"}");
+
+	json_decref(node->shut);
+	node->shut = json_pack("[s]", "q");
+	node->full_ms = clock_now_ms();
+	Submit("a", 3000);
+	while (reads.size() > 1)
+		AnswerRead();
+	ASSERT_EQ(reads.size(), 1u);
+	AnswerRead(KV_OK);
+	ASSERT_FALSE(reads.empty());
+	AnswerRead(KV_OK, { tombstone });
+	ASSERT_EQ(replies.size(), 1u);
+	EXPECT_EQ(replies[0].outcome, NODE_NOT_DONE);
+	EXPECT_STREQ(replies[0].reason, "cancelled");
+	EXPECT_TRUE(writes.empty());
+}
+
+// Guards against a job that is told to be accepted since another writer's item
+// has the key of its end.
+TEST_F(Accept, AnUnreadableEndIsNoAcceptance)
+{
+	struct kv_item item = Record("lp/e/a", "{}");
+
+	Submit("a", 3000);
+	AnswerWrite(KV_CONFLICT, { item });
+	ASSERT_EQ(replies.size(), 1u);
+	EXPECT_EQ(replies[0].outcome, NODE_NOT_DONE);
+}
+
+// The job ended under an earlier request.
+TEST_F(Accept, ARepeatFindsTheEnd)
+{
+	struct kv_item item = Record("lp/e/a", "{\"state\":\"failed\"}");
+
+	Submit("a", 3000);
+	AnswerWrite(KV_CONFLICT, { item });
+	ASSERT_EQ(replies.size(), 1u);
+	EXPECT_EQ(replies[0].outcome, NODE_ACCEPTED);
+}
--- a/tests/test_sched_cancel.cc
+++ b/tests/test_sched_cancel.cc
@@ -217,3 +217,35 @@
 	ExpectStopsUntilGone("w1");
 	EXPECT_EQ(started.size(), before);
 }
+
+// Guards against records of ended jobs that nobody removes, as too many expired
+// at once.
+TEST_F(Cancel, AnEndedJobIsKeptUntilItCanBeForgotten)
+{
+	RunOnTwoWorkers();
+	sched_job_cancel(s, job, now);
+	Simulate(1000);
+	forgets = false;
+	now += options.keep_ms;
+	Simulate(500);
+	EXPECT_NE(sched_job_find(s, "a"), nullptr);
+	forgets = true;
+	Simulate(500);
+	EXPECT_EQ(sched_job_find(s, "a"), nullptr);
+}
+
+// Guards against a mark that is dropped while the store still needs it, as it
+// was set again shortly before.
+TEST_F(Cancel, AnAbsentMarkIsKeptFromTheLastCallOn)
+{
+	sched_job_add_absent(s, "a", now);
+	now += options.keep_ms - 100;
+	sched_job_add_absent(s, "a", now);
+	EXPECT_EQ(s->nabsent, 1u);
+	Simulate(1000);
+	EXPECT_NE(sched_job_find(s, "a"), nullptr);
+	now += options.keep_ms;
+	Simulate(500);
+	EXPECT_EQ(sched_job_find(s, "a"), nullptr);
+	EXPECT_EQ(s->nabsent, 0u);
+}
--- a/tests/test_sched_share.cc
+++ b/tests/test_sched_share.cc
@@ -61,7 +61,9 @@
 			},
 			[](struct sched *, struct sched_worker *, void *) {},
 			[](struct sched *, void *) {},
-			[](struct sched *, const char *, void *) {},
+			[](struct sched *, const char *, void *) {
+				return true;
+			},
 			[](struct sched *, void *) {},
 			[](struct sched *, struct sched_worker *, bool,
 			    void *) {} };
