Own interface: a cancel of an unknown job holds against a late write

The cancel now writes the mark that cancelled jobs have, under a store lease of an hour, on the condition that the job doesn't exist; if it does by then, it is cancelled. The creation compares the mark, too, and is refused with 410 job_cancelled.

Test: process_cancel_unknown_job; without the comparison it fails (the submission after the cancel gets 202).

--- a/lagoonpind/task_accept.c
+++ b/lagoonpind/task_accept.c
@@ -11,15 +11,23 @@
 
 /*
  * Accepts jobs.  One transaction writes the job record and an inbox item for
- * each shard, and fails if the job exists.  The operator gets the response
- * after it is committed.  Submitting a job is idempotent: the same record is
- * accepted again, a different record with the same id is refused.
+ * each shard, and fails if the job exists or was cancelled before it did.  The
+ * operator gets the response after it is committed.  Submitting a job is
+ * idempotent: the same record is accepted again, a different record with the
+ * same id is refused.
  */
 
 #define SHARDS_MAX 64 /* initial shards of one job */
 #define TRIES_MAX 3
 #define RETRY_AFTER_S 5
 
+/* Keys that must not exist, in the order in which they are read back. */
+enum sent_key {
+	SENT_RECORD, /* of the job */
+	SENT_MARK, /* of its cancellation */
+	SENT_KEYS
+};
+
 struct accept {
 	struct pending_request request;
 	struct job job;
@@ -37,6 +45,8 @@
 static size_t pick_shards(struct batch *, const struct job *, const char **);
 static int make_inbox_items(struct batch *, struct accept *);
 static void send_job(struct batch *, struct accept *);
+static int refused_status(
+    const struct accept *, const struct store_txn_result *);
 static void on_sent(const struct store_txn_result *, void *);
 static void finish(struct accept *, int);
 static void accept_free(struct accept *);
@@ -220,20 +230,25 @@
 send_job(struct batch *b, struct accept *a)
 {
 	struct store_op ops[SHARDS_MAX + 1] = { { 0 } };
-	struct store_compare compare = { 0 };
+	struct store_compare compares[SENT_KEYS] = { { 0 } };
 	struct store_txn_request txn = { 0 };
-	struct store_op get = { 0 };
-	char key[BATCH_KEY_MAX];
+	struct store_op gets[SENT_KEYS] = { { 0 } };
+	char keys[SENT_KEYS][BATCH_KEY_MAX];
 	size_t i;
 
-	snprintf(key, sizeof(key), BATCH_JOB_PREFIX "%s", a->job.id);
-	compare.key = key;
-	compare.target = STORE_MOD_REVISION;
-	compare.relation = STORE_EQUAL;
-	get.kind = STORE_GET;
-	get.key = key;
+	snprintf(
+	    keys[SENT_RECORD], BATCH_KEY_MAX, BATCH_JOB_PREFIX "%s", a->job.id);
+	snprintf(keys[SENT_MARK], BATCH_KEY_MAX,
+	    BATCH_JOB_PREFIX "%s/cancelled", a->job.id);
+	for (i = 0; i < SENT_KEYS; i++) {
+		compares[i].key = keys[i];
+		compares[i].target = STORE_MOD_REVISION;
+		compares[i].relation = STORE_EQUAL;
+		gets[i].kind = STORE_GET;
+		gets[i].key = keys[i];
+	}
 	ops[0].kind = STORE_PUT;
-	ops[0].key = key;
+	ops[0].key = keys[SENT_RECORD];
 	ops[0].value = a->text;
 	ops[0].len = strlen(a->text);
 	for (i = 0; i < a->nitems; i++) {
@@ -242,21 +257,37 @@
 		ops[i + 1].value = a->items[i];
 		ops[i + 1].len = strlen(a->items[i]);
 	}
-	txn.compares = &compare;
-	txn.ncompares = 1;
+	txn.compares = compares;
+	txn.ncompares = SENT_KEYS;
 	txn.success = ops;
 	txn.nsuccess = a->nitems + 1;
-	txn.failure = &get;
-	txn.nfailure = 1;
+	txn.failure = gets;
+	txn.nfailure = SENT_KEYS;
 	a->tries++;
 	if (store_txn(b->entry->store, &txn, on_sent, a) != STORE_OK)
 		finish(a, 503);
 }
 
+/* The status for a job that wasn't written, as one of its keys exists. */
+static int
+refused_status(const struct accept *a, const struct store_txn_result *result)
+{
+	const struct store_kv *record;
+
+	if (result->nops != SENT_KEYS)
+		return 409;
+	if (result->ops[SENT_RECORD].nkvs == 0)
+		return result->ops[SENT_MARK].nkvs > 0 ? 410 : 409;
+	record = &result->ops[SENT_RECORD].kvs[0];
+	return record->len == strlen(a->text) &&
+		memcmp(record->value, a->text, record->len) == 0 ?
+	    202 :
+	    409;
+}
+
 static void
 on_sent(const struct store_txn_result *result, void *ctx)
 {
-	const struct store_kv *kv;
 	struct accept *a;
 
 	a = ctx;
@@ -270,22 +301,12 @@
 		send_job(a->request.batch, a);
 		return;
 	}
-	if (result->error == STORE_ERR_UNKNOWN) {
+	if (result->error == STORE_ERR_UNKNOWN)
 		finish(a, 504);
-	} else if (result->error != STORE_OK) {
+	else if (result->error != STORE_OK)
 		finish(a, 503);
-	} else if (result->succeeded) {
-		finish(a, 202);
-	} else {
-		kv = result->nops > 0 && result->ops[0].nkvs > 0 ?
-		    &result->ops[0].kvs[0] :
-		    NULL;
-		finish(a,
-		    kv != NULL && kv->len == strlen(a->text) &&
-			    memcmp(kv->value, a->text, kv->len) == 0 ?
-			202 :
-			409);
-	}
+	else
+		finish(a, result->succeeded ? 202 : refused_status(a, result));
 }
 
 /* Replies with the status, counts it and ends the request. */
@@ -302,6 +323,7 @@
 	} else
 		counter_inc_reason("lagoonpin_jobs_refused",
 		    status == 409     ? "exists" :
+			status == 410 ? "cancelled" :
 			status == 504 ? "unknown" :
 					"store_away");
 	if (r != NULL && status == 202)
@@ -311,6 +333,9 @@
 	else if (r != NULL && status == 409)
 		reply_error(r, 409, "job_exists", "id",
 		    "another job with this id exists");
+	else if (r != NULL && status == 410)
+		reply_error(r, 410, "job_cancelled", "id",
+		    "the job was cancelled before it was submitted");
 	else if (r != NULL && status == 504)
 		reply_retry(r, 504, "unknown",
 		    "no response from the store, outcome unknown; submit "
--- a/lagoonpind/task_cancel.c
+++ b/lagoonpind/task_cancel.c
@@ -11,12 +11,19 @@
 /*
  * Cancels jobs, by their ids or by their team, in chunks.  One transaction per
  * chunk marks its jobs as cancelled and writes an inbox item to every shard.
+ *
+ * A job that doesn't exist is marked as well: the write that creates it may
+ * have got no answer and be carried out later, and it requires that there is no
+ * mark (task_accept.c).  Such a mark is under a lease, as nobody else removes
+ * it.
  */
 
 #define CANCEL_MAX 1000 /* jobs in one request */
 #define CANCEL_CHUNK 48 /* jobs in one transaction */
 #define SHARDS_MAX 128 /* inbox items in one transaction */
 #define RETRY_AFTER_S 5
+/* Of marks without a job; a late write takes seconds. */
+#define UNKNOWN_MARK_TTL_S 3600
 
 struct cancel {
 	struct pending_request request;
@@ -26,6 +33,7 @@
 	size_t n;
 	size_t at; /* start of the current chunk */
 	bool writing; /* the chunk's write, after its read */
+	int64_t lease; /* of marks without a job; 0: none yet */
 };
 
 static bool cancel_body(struct cancel *, struct httpd_request *);
@@ -35,6 +43,13 @@
 static bool is_of_team(const struct store_kv *, const char *);
 static size_t chunk_size(const struct cancel *);
 static void cancel_read(struct cancel *);
+static bool any_unknown(const struct cancel *);
+static void grant_lease(struct cancel *);
+static void on_lease(const struct store_lease_result *, void *);
+static size_t add_marks(
+    const struct cancel *, struct store_op *, char (*)[BATCH_KEY_MAX]);
+static size_t add_compares(
+    const struct cancel *, struct store_compare *, char (*)[BATCH_KEY_MAX]);
 static void cancel_write(struct cancel *);
 static void on_cancel(const struct store_txn_result *, void *);
 static void cancel_finish(struct cancel *, bool);
@@ -202,6 +217,84 @@
 		cancel_finish(c, false);
 }
 
+static bool
+any_unknown(const struct cancel *c)
+{
+	size_t i;
+
+	for (i = c->at; i < c->at + chunk_size(c); i++) {
+		if (!c->found[i])
+			return true;
+	}
+	return false;
+}
+
+static void
+grant_lease(struct cancel *c)
+{
+	if (store_lease_grant(c->request.batch->entry->store,
+		UNKNOWN_MARK_TTL_S, on_lease, c) != STORE_OK)
+		cancel_finish(c, false);
+}
+
+static void
+on_lease(const struct store_lease_result *result, void *ctx)
+{
+	struct cancel *c;
+
+	c = ctx;
+	if (c->request.batch == NULL) {
+		cancel_free(c);
+		return;
+	}
+	if (result->error != STORE_OK) {
+		cancel_finish(c, false);
+		return;
+	}
+	c->lease = result->lease;
+	cancel_write(c);
+}
+
+static size_t
+add_marks(
+    const struct cancel *c, struct store_op *ops, char (*keys)[BATCH_KEY_MAX])
+{
+	size_t i, n;
+
+	n = chunk_size(c);
+	for (i = 0; i < n; i++) {
+		snprintf(keys[i], BATCH_KEY_MAX,
+		    BATCH_JOB_PREFIX "%s/cancelled", c->ids[c->at + i]);
+		ops[i].kind = STORE_PUT;
+		ops[i].key = keys[i];
+		ops[i].value = "{}";
+		ops[i].len = 2;
+		ops[i].lease = c->found[c->at + i] ? 0 : c->lease;
+	}
+	return n;
+}
+
+/* The jobs that were not found still don't exist. */
+static size_t
+add_compares(const struct cancel *c, struct store_compare *compares,
+    char (*keys)[BATCH_KEY_MAX])
+{
+	size_t i, n;
+
+	n = 0;
+	for (i = c->at; i < c->at + chunk_size(c); i++) {
+		if (c->found[i])
+			continue;
+		snprintf(
+		    keys[n], BATCH_KEY_MAX, BATCH_JOB_PREFIX "%s", c->ids[i]);
+		compares[n].key = keys[n];
+		compares[n].target = STORE_MOD_REVISION;
+		compares[n].relation = STORE_EQUAL;
+		n++;
+	}
+	return n;
+}
+
 /*
  * Second step of a chunk: mark the jobs, which also reaches tasks that are
  * moving between shards, and write to the inbox of every shard.  It is one
@@ -211,6 +304,8 @@
 cancel_write(struct cancel *c)
 {
 	static char keys[CANCEL_CHUNK + SHARDS_MAX][BATCH_KEY_MAX];
+	static char compared[CANCEL_CHUNK][BATCH_KEY_MAX];
+	struct store_compare compares[CANCEL_CHUNK] = { { 0 } };
 	struct store_op ops[CANCEL_CHUNK + SHARDS_MAX] = { { 0 } };
 	char ids[CANCEL_CHUNK][LEDGER_ID_MAX];
 	struct store_txn_request txn = { 0 };
@@ -221,22 +316,13 @@
 	size_t i, n;
 
 	b = c->request.batch;
-	n = 0;
 	for (i = c->at; i < c->at + chunk_size(c); i++) {
-		if (!c->found[i])
-			continue;
-		strlcpy(ids[n], c->ids[i], LEDGER_ID_MAX);
-		snprintf(keys[n], BATCH_KEY_MAX,
-		    BATCH_JOB_PREFIX "%s/cancelled", c->ids[i]);
-		ops[n].kind = STORE_PUT;
-		ops[n].key = keys[n];
-		ops[n].value = "{}";
-		ops[n].len = 2;
-		n++;
+		if (c->found[i])
+			strlcpy(ids[item.njobs++], c->ids[i], LEDGER_ID_MAX);
 	}
+	n = add_marks(c, ops, keys);
 	item.kind = INBOX_CANCEL;
 	item.jobs = ids;
-	item.njobs = n;
 	text = inbox_item_text(&item);
 	batch_item_name(b, name, sizeof(name));
 	TAILQ_FOREACH (rack, fleet_racks(b->entry->fleet), link) {
@@ -250,6 +336,8 @@
 		ops[n].len = strlen(text);
 		n++;
 	}
+	txn.compares = compares;
+	txn.ncompares = add_compares(c, compares, compared);
 	txn.success = ops;
 	txn.nsuccess = n;
 	c->writing = true;
@@ -283,7 +371,16 @@
 	if (!c->writing) {
 		for (i = 0; i < result->nops; i++)
 			c->found[c->at + i] = result->ops[i].nkvs > 0;
-		cancel_write(c);
+		if (c->lease == 0 && any_unknown(c))
+			grant_lease(c);
+		else
+			cancel_write(c);
+		return;
+	}
+	if (!result->succeeded) {
+		/* A job was created in between. */
+		counter_inc_reason("lagoonpin_cancel_retries", "created");
+		cancel_read(c);
 		return;
 	}
 	c->at += chunk_size(c);
--- a/mk/check.sh
+++ b/mk/check.sh
@@ -21,7 +21,7 @@
     platform_crashing_task platform_crashing_task_kills platform_refused_save platform_rejected_entries platform_restarted_worker platform_soak platform_stop_open
     hostile_announced_body hostile_sent_body hostile_long_head hostile_endless_head
     hostile_empty_lines hostile_whole_bodies hostile_piecewise_bodies hostile_unfinished_bodies
-    odd_entries platform_closed_data_center platform_unguarded_rooms stand_stop start_without_store store_outage two_operators worker_faults"
+    cancel_unknown_job odd_entries platform_closed_data_center platform_unguarded_rooms stand_stop start_without_store store_outage two_operators worker_faults"
 
 report()	# NAME STATUS
 {
