Blame a step that fails on any worker, not the workers

Cause: a worker rests after failures of two jobs in a row and then gets one task at a time until one is done. (1) Each failure counted against the worker, also those of tasks that had failed on every other worker. (2) The one task tried after a rest was one of the failing ones each time, as tasks of long-running jobs are placed first. (3) A long-running task is never done, so it could not end that state even if it ran well. A scheduler with simulated workers shows each: counting all failures, or suspects taking the place of the probe, breaks JobsThatAlwaysFailLeaveWorkersToOthers, and without (3) a worker that only runs long-running tasks gets one each 1.5 s for good.

A step whose tasks failed on three workers in a row is suspect until one of them succeeds: its failures no longer count against workers, nor do more of them on the same worker, and its tasks don't take the place of the probe. So a step counts against three workers at most. A long-running task succeeds by being at work for 2 s. One that fails before that again and again is started after a delay that doubles from 125 ms to 2 s: the rest of the workers had held back such starts, each of which takes an attempt number and a row in the job's record. Lines of event=load tell the workers that rest (failing, rests) and the suspect steps, which no log told.

The same cause by stalled runs, whose stops count as failures, is closed by the same change.

--- a/core/sched_answer.c
+++ b/core/sched_answer.c
@@ -221,20 +221,22 @@
     int64_t now_ms)
 {
 	struct sched_run *run;
+	int64_t retry_ms;
 	bool lasts;
 
+	retry_ms = 0;
 	lasts = task->step->spec->lasts;
 	run = run_find(worker, &end->task, end->attempt);
 	loss_refuted(s, task, end->attempt, worker->id);
 	task_set_checkpoint(task, end->checkpoint);
 	if (present && end->how == END_DONE && !lasts)
-		health_task_done(worker, run, now_ms);
+		health_task_done(worker, task, run, now_ms);
 	if (run != NULL && end->how == END_DONE && !lasts) {
 		copy_run_ended(run, now_ms);
 		copy_count_winner(s, task, run);
 	}
 	if (present && end->how == END_FAILED)
-		health_task_failed(worker, task_job(task), now_ms);
+		health_task_failed(s, worker, task, now_ms);
 	if (run != NULL) {
 		loss_survived(task, run, now_ms);
 		run_settle(s, run);
@@ -244,13 +246,14 @@
 	else if (end->how == END_FAILED) {
 		if (present)
 			task->avoid = worker->inc.serial;
+		retry_ms = health_retry_ms(task);
 		task_failed(s, task, end->attempt, now_ms);
 	} else if (task->checkpoint != NULL && !task_job(task)->in_ended)
 		job_mark_dirty(s, task_job(task));
 	if (task->state == SCHED_DONE)
 		run_stop_others(s, task, NULL, STOP_DONE);
 	else
-		run_requeue(s, task, now_ms, now_ms);
+		run_requeue(s, task, now_ms + retry_ms, now_ms);
 }
 
 /* The end of one task of a gang completes all of its tasks. */
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -314,12 +314,17 @@
 int64_t use_idle_cpu(const struct sched *, const struct sched_worker *);
 
 /* sched_health.c */
-void health_task_done(
-    struct sched_worker *, const struct sched_run *, int64_t now_ms);
+/* The task is done; run: the one that ended, NULL if it isn't known. */
+void health_task_done(struct sched_worker *, struct sched_task *,
+    const struct sched_run *, int64_t now_ms);
+/* The task failed on the present incarnation of the worker. */
 void health_task_failed(
-    struct sched_worker *, const struct sched_job *, int64_t now_ms);
-void health_task_placed(struct sched_worker *, int64_t now_ms);
-/* Handles runs on the worker that make no progress. */
+    struct sched *, struct sched_worker *, struct sched_task *, int64_t now_ms);
+void health_task_placed(
+    struct sched_worker *, const struct sched_task *, int64_t now_ms);
+/* Delay before a task that failed is started again. */
+int64_t health_retry_ms(const struct sched_task *);
+/* Handles runs on the worker that make no progress, or that run well. */
 void health_check_progress(
     struct sched *, struct sched_worker *, int64_t now_ms);
 
--- a/core/sched_start.c
+++ b/core/sched_start.c
@@ -32,7 +32,7 @@
 	if (run->deadline_worker_ms > worker->inc.granted_ms)
 		worker->inc.granted_ms = run->deadline_worker_ms;
 	s->counts.starts++;
-	health_task_placed(worker, now_ms);
+	health_task_placed(worker, run->task, now_ms);
 	if (loss_is_suspect(s, run->task))
 		worker->inc.isolated_until_ms =
 		    now_ms + loss_isolation_ms(run->task);
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -130,6 +130,7 @@
 	int64_t on_time_ms; /* serving: last listed below its target */
 	int64_t late_since_ms; /* serving: over its target since; 0: not */
 	int64_t sampled_ms; /* serving: last tail used by the model */
+	bool healthy; /* long-running: it has run well for some time */
 };
 TAILQ_HEAD(sched_runs, sched_run);
 
@@ -159,6 +160,12 @@
 	int64_t placed_wall_ms;
 };
 
+/* Failures of a step's tasks since one of them succeeded, in this term. */
+struct step_failures {
+	uint32_t workers; /* without those on the same as the one before */
+	uint32_t last; /* serial of the incarnation of the last one */
+};
+
 struct sched_task {
 	TAILQ_ENTRY(sched_task) link; /* of the step's waiting tasks */
 	struct sched_step *step;
@@ -172,6 +179,7 @@
 	int64_t survived_ms; /* run time of other ended runs, in this term */
 	uint32_t attempt; /* the highest used in this term */
 	uint32_t avoid; /* serial of the incarnation where it last failed */
+	uint32_t failed_row; /* failures since it succeeded, in this term */
 	uint32_t moves; /* moves for lack of progress, in this term */
 	uint32_t copies; /* started in this term */
 	struct sched_runs runs;
@@ -208,6 +216,7 @@
 	uint32_t nactive;
 	uint32_t nended; /* runs that ended as done, in this term */
 	int64_t ended_ms; /* sum of their run times */
+	struct step_failures failing; /* see sched_health.c */
 	bool open; /* the steps it depends on are done */
 	struct sched_tasks waiting;
 	struct sched_task *tasks; /* NULL before it opens and when done */
@@ -568,6 +577,8 @@
 	uint64_t copies_lost;
 	uint64_t leaving_moves; /* of other tasks off draining workers */
 	uint64_t stalled; /* runs found without progress */
+	uint64_t rests; /* of workers, after failures */
+	uint64_t suspects; /* steps found to fail on any worker */
 	uint64_t given_up; /* jobs failed because they crash workers */
 };
 
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -397,7 +397,8 @@
 	sched_measure(l->sched, &load, now_ms);
 	fleet_note_rooms(l, &load, now_ms);
 	log_info("load",
-	    "workers=%u usable=%u closed=%u room_unknown=%u unsettled=%u "
+	    "workers=%u usable=%u closed=%u room_unknown=%u failing=%u "
+	    "rests=%llu suspects=%llu unsettled=%u "
 	    "cpu=%lld "
 	    "claimed=%lld "
 	    "fillers=%lld "
@@ -408,11 +409,13 @@
 	    "cycle_ms=%.0f "
 	    "forecast_error=%.3f last_error=%.3f",
 	    load.workers, load.usable, load.barred[BAR_CLOSED],
-	    load.barred[BAR_ROOM_UNKNOWN], load.unsettled, (long long)load.cpu,
-	    (long long)load.claimed, (long long)load.fillers, load.running,
-	    load.waiting, load.waiting_fillers, load.serving, load.late,
-	    load.paced, l->sched->serving_use,
-	    (unsigned long long)l->sched->counts.starts,
+	    load.barred[BAR_ROOM_UNKNOWN], load.barred[BAR_FAILING],
+	    (unsigned long long)l->sched->counts.rests,
+	    (unsigned long long)l->sched->counts.suspects, load.unsettled,
+	    (long long)load.cpu, (long long)load.claimed,
+	    (long long)load.fillers, load.running, load.waiting,
+	    load.waiting_fillers, load.serving, load.late, load.paced,
+	    l->sched->serving_use, (unsigned long long)l->sched->counts.starts,
 	    (unsigned long long)l->sched->counts.polls,
 	    (unsigned long long)l->sched->counts.stalled,
 	    (unsigned long long)l->sched->counts.moves,
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -350,6 +350,7 @@
 		// If not, stop orders are lost on the way.
 		bool receives_stops = true;
 		bool no_progress = false; // its tasks make no progress
+		bool fails_all = false; // its tasks fail at once
 		int slowdown = 1; // factor by which tasks take longer
 		int tail_ms = 0; // tail latency of serving tasks
 		enum worker_answer start_answer = ANSWER_OK;
@@ -462,6 +463,10 @@
 	std::map<std::string, SimWorker> sim;
 	// Run time of tasks, by job; tasks of other jobs don't end.
 	std::map<std::string, int64_t> run_ms;
+	// Time after which tasks fail, by job.
+	std::map<std::string, int64_t> fail_ms;
+	// The same of the first task of a step only.
+	std::map<std::string, int64_t> fail_first_ms;
 	std::vector<int64_t> start_times; // for each of started
 
       private:
@@ -483,13 +488,29 @@
 		}
 		for (size_t i = m.running.size(); i-- > 0;) {
 			auto length = run_ms.find(m.running[i].order.task.job);
-			if (!m.no_progress && length != run_ms.end() &&
+			int64_t fails = FailMs(m.running[i].order.task);
+			int64_t ran_ms = now - m.running[i].begun_ms;
+			if (m.fails_all || (fails >= 0 && ran_ms >= fails))
+				EndRun(m, i, END_FAILED);
+			else if (!m.no_progress && length != run_ms.end() &&
 			    now - m.running[i].begun_ms >=
 				length->second * m.slowdown)
 				EndRun(m, i, END_DONE);
 		}
 	}
 
+	// Time after which the task fails; -1: it doesn't.
+	int64_t
+	FailMs(const struct task_name &task) const
+	{
+		auto first = fail_first_ms.find(task.job);
+		auto all = fail_ms.find(task.job);
+
+		if (task.index == 0 && first != fail_first_ms.end())
+			return first->second;
+		return all != fail_ms.end() ? all->second : -1;
+	}
+
 	void
 	CarryOutStart(const Order &o)
 	{
