An end or a job replaces the mark that there is none

Callers got no answer about a job for up to the keep time if the leader had marked it as absent (a worker listed a run of it) and then found its end in the store: the end couldn't be added beside the mark. Found by reading, not seen in a run. The mark is now replaced in one place, for ends and open jobs alike.

Test: Cancel.AnEndReplacesAnAbsentMark; before, the end isn't added (NULL).

--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -45,6 +45,15 @@
 	return job;
 }
 
+static void
+discard_absent(struct sched *s, const char *id)
+{
+	struct sched_job *mark;
+
+	if ((mark = sched_job_find(s, id)) != NULL && mark->absent)
+		job_discard(s, mark);
+}
+
 struct sched_job *
 sched_job_add(struct sched *s, struct graph *graph, int64_t submitted_ms,
     enum sched_origin origin, int64_t now_ms)
@@ -52,8 +61,10 @@
 	struct sched_queue *queue;
 	struct sched_job *job;
 
-	if ((queue = sched_queue_get(s, graph->queue, &graph->terms)) == NULL ||
-	    (job = job_new(s, graph->id)) == NULL)
+	if ((queue = sched_queue_get(s, graph->queue, &graph->terms)) == NULL)
+		return NULL;
+	discard_absent(s, graph->id);
+	if ((job = job_new(s, graph->id)) == NULL)
 		return NULL;
 	job->graph = graph;
 	job->queue = queue;
@@ -76,6 +87,7 @@
 {
 	struct sched_job *job;
 
+	discard_absent(s, id);
 	if ((job = job_new(s, id)) == NULL)
 		return NULL;
 	job->state = state;
@@ -92,9 +104,6 @@
 {
 	struct sched_job *job;
 
-	job = sched_job_find(s, id);
-	if (job != NULL && job->absent)
-		job_discard(s, job);
 	job = sched_job_add_ended(s, id, JOB_CANCELLED, now_ms);
 	if (job == NULL)
 		return;
@@ -576,12 +585,6 @@
 	return "unknown";
 }
 
-void
-sched_job_remove(struct sched *s, struct sched_job *job)
-{
-	job_discard(s, job);
-}
-
 static void
 job_free_body(struct sched_job *job)
 {
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -682,13 +682,15 @@
 struct sched_queue *sched_queue_get(
     struct sched *, const char *name, const struct queue_terms *);
 
-/* Jobs.  Takes ownership of the graph; NULL: no memory, or a known job. */
+/*
+ * Jobs.  Takes ownership of the graph; NULL: no memory, or a known job.  A mark
+ * that there is no such job is replaced.
+ */
 struct sched_job *sched_job_add(struct sched *, struct graph *,
     int64_t submitted_ms, enum sched_origin, int64_t now_ms);
-/* Add an ended job, of which only its id and state are known. */
+/* The same for an ended job, of which only its id and state are known. */
 struct sched_job *sched_job_add_ended(
     struct sched *, const char *id, enum sched_job_state, int64_t ended_ms);
-void sched_job_remove(struct sched *, struct sched_job *);
 /*
  * The store has no such job: its runs are stopped.  The mark is kept for
  * keep_ms, like an ended job, from the last call on.
--- a/entry/lead.c
+++ b/entry/lead.c
@@ -675,8 +675,6 @@
 		graph_free(graph);
 		return job;
 	}
-	if (job != NULL)
-		sched_job_remove(l->sched, job);
 	now_ms = clock_now_ms();
 	age_ms = clock_wall_ms() - graph->submitted_ms;
 	if (age_ms < 0)
--- a/tests/test_sched_cancel.cc
+++ b/tests/test_sched_cancel.cc
@@ -249,3 +249,15 @@
 	EXPECT_EQ(sched_job_find(s, "a"), nullptr);
 	EXPECT_EQ(s->nabsent, 0u);
 }
+
+// Guards against callers without an answer about a job, as a mark that it isn't
+// stored is in the place of its end.
+TEST_F(Cancel, AnEndReplacesAnAbsentMark)
+{
+	sched_job_add_absent(s, "a", now);
+	struct sched_job *ended =
+	    sched_job_add_ended(s, "a", JOB_COMPLETED, now);
+	ASSERT_NE(ended, nullptr);
+	EXPECT_FALSE(ended->absent);
+	EXPECT_EQ(s->nabsent, 0u);
+}
