Tombstones: believe the conflict, not another read

After a conflict the leader read the job's keys again, and a read may be stale by seconds (seam.h): it would have written and read in turns until it wasn't. The conflict returns the item, so that is used.

kv_result_item() finds an item of a result; four loops did so before.

--- a/entry/job_record.c
+++ b/entry/job_record.c
@@ -1,5 +1,4 @@
 #include <stdio.h>
-#include <string.h>
 
 #include "node_int.h"
 
@@ -27,13 +26,8 @@
 {
 	const struct kv_item *item;
 	char key[KEY_MAX];
-	size_t i;
 
 	snprintf(key, sizeof(key), "%s%s", prefix, job);
-	for (i = 0; i < result->nitems; i++) {
-		item = &result->items[i];
-		if (item->revision > 0 && strcmp(item->key, key) == 0)
-			return item;
-	}
-	return NULL;
+	item = kv_result_item(result, key);
+	return item != NULL && item->revision > 0 ? item : NULL;
 }
--- a/entry/lead_int.h
+++ b/entry/lead_int.h
@@ -154,11 +154,13 @@
 /* lead_tombstone.c */
 enum tombstone_result {
 	TOMBSTONE_WRITTEN, /* the job doesn't exist, and won't */
-	TOMBSTONE_FOUND, /* the store has a record of the job by now */
+	TOMBSTONE_FOUND, /* the store has an item of the job */
 	TOMBSTONE_FAILED, /* nothing is known: ask again */
 	TOMBSTONE_FULL /* too many are kept: nothing was done */
 };
-typedef void tombstone_done(enum tombstone_result, void *ctx);
+/* found: for TOMBSTONE_FOUND, that under KEY_JOB or else KEY_ENDED. */
+typedef void tombstone_done(
+    enum tombstone_result, const struct kv_item *found, void *ctx);
 /*
  * Write that a job which the store doesn't have may not be created any more.
  * The callback is called once, from within this function if the result is
--- a/entry/lead_record.c
+++ b/entry/lead_record.c
@@ -351,12 +351,10 @@
 static void
 update_revision(struct lead *l, const struct kv_result *result)
 {
-	size_t i;
+	const struct kv_item *record;
 
-	for (i = 0; i < result->nitems; i++) {
-		if (strcmp(result->items[i].key, KEY_WORKERS) == 0)
-			l->record_revision = result->items[i].revision;
-	}
+	if ((record = kv_result_item(result, KEY_WORKERS)) != NULL)
+		l->record_revision = record->revision;
 }
 
 static void
--- a/entry/lead_request.c
+++ b/entry/lead_request.c
@@ -119,8 +119,6 @@
 	free(lookup);
 }
 
-static void look_up(struct lookup *);
-
 static void
 answer_unknown(const struct lookup *lookup)
 {
@@ -140,8 +138,60 @@
 	lookup->answered(&reply, &lookup->id, lookup->from, lookup->ctx);
 }
 
+/* Returns false if the item under KEY_JOB is no job. */
+static bool
+answer_job(const struct lookup *lookup, const struct kv_item *item)
+{
+	struct sched_job *job;
+	struct lead *l;
+
+	l = lookup->lead;
+	if ((job = known_job(l, lookup->job)) == NULL)
+		job = lead_add_stored_job(l, item, false);
+	if (job == NULL)
+		return false;
+	answer_known(lookup, job);
+	lead_wakeup(l);
+	return true;
+}
+
+/* Returns false if the item under KEY_ENDED is no end. */
+static bool
+answer_ended(const struct lookup *lookup, const struct kv_item *item)
+{
+	enum sched_job_state state;
+	struct sched_job *job;
+	struct lead *l;
+
+	l = lookup->lead;
+	if (ended_read(l->node, item, &state) != ENDED_STATE)
+		return false;
+	job = known_job(l, lookup->job);
+	if (job == NULL)
+		job = sched_job_add_ended(
+		    l->sched, lookup->job, state, clock_now_ms());
+	if (job != NULL)
+		answer_known(lookup, job);
+	return true;
+}
+
+/* The read found nothing, and the write that followed did: it is newer. */
+static void
+answer_found(const struct lookup *lookup, const struct kv_item *item)
+{
+	bool answered;
+
+	if (strncmp(item->key, KEY_JOB, strlen(KEY_JOB)) == 0)
+		answered = answer_job(lookup, item);
+	else
+		answered = answer_ended(lookup, item);
+	if (!answered)
+		answer_unknown(lookup);
+}
+
 static void
-on_tombstone(enum tombstone_result result, void *ctx)
+on_tombstone(
+    enum tombstone_result result, const struct kv_item *found, void *ctx)
 {
 	struct lookup *lookup;
 
@@ -151,8 +201,8 @@
 		answer_unknown(lookup);
 		break;
 	case TOMBSTONE_FOUND:
-		look_up(lookup);
-		return;
+		answer_found(lookup, found);
+		break;
 	case TOMBSTONE_FULL:
 		answer_full(lookup);
 		break;
@@ -180,43 +230,24 @@
 	lookup_end(lookup);
 }
 
-static void
-handle_ended(struct lookup *lookup, enum sched_job_state state)
-{
-	struct sched_job *job;
-	struct lead *l;
-
-	l = lookup->lead;
-	job = known_job(l, lookup->job);
-	if (job == NULL)
-		job = sched_job_add_ended(
-		    l->sched, lookup->job, state, clock_now_ms());
-	if (job != NULL)
-		answer_known(lookup, job);
-}
-
 static void
 on_ended_read(const struct kv_result *result, void *ctx)
 {
-	enum sched_job_state state;
 	struct lookup *lookup;
-	struct lead *l;
 
 	lookup = ctx;
-	l = lookup->lead;
-	if (l->closed || result->error != KV_OK) {
-		/* Without an answer the entry repeats the request. */
-		lookup_end(lookup);
-		return;
-	}
-	if (result->nitems > 0 &&
-	    ended_read(l->node, &result->items[0], &state) == ENDED_STATE) {
-		handle_ended(lookup, state);
+	/* Without an answer the entry repeats the request. */
+	if (lookup->lead->closed || result->error != KV_OK) {
 		lookup_end(lookup);
 		return;
 	}
-	if (result->nitems > 0)
+	if (result->nitems > 0) {
 		lookup->occupied = true;
+		if (answer_ended(lookup, &result->items[0])) {
+			lookup_end(lookup);
+			return;
+		}
+	}
 	handle_absent(lookup);
 }
 
@@ -234,16 +265,18 @@
 		lookup_end(lookup);
 		return;
 	}
-	job = known_job(l, lookup->job);
-	if (job == NULL && result->nitems > 0)
-		job = lead_add_stored_job(l, &result->items[0], false);
-	lookup->occupied = result->nitems > 0;
-	if (job != NULL) {
+	if ((job = known_job(l, lookup->job)) != NULL) {
 		answer_known(lookup, job);
-		lead_wakeup(l);
 		lookup_end(lookup);
 		return;
 	}
+	if (result->nitems > 0) {
+		lookup->occupied = true;
+		if (answer_job(lookup, &result->items[0])) {
+			lookup_end(lookup);
+			return;
+		}
+	}
 	snprintf(key, sizeof(key), KEY_ENDED "%s", lookup->job);
 	l->node->opt.kv.get(l->node->opt.kv.self, key, on_ended_read, lookup);
 }
--- a/entry/lead_save.c
+++ b/entry/lead_save.c
@@ -80,14 +80,11 @@
 static bool
 is_deposed(const struct lead *l, const struct kv_result *result)
 {
-	size_t i;
+	const struct kv_item *leader;
 
-	for (i = 0; i < result->nitems; i++) {
-		if (strcmp(result->items[i].key, KEY_LEADER) == 0)
-			return result->items[i].revision !=
-			    l->node->elect.leader.revision;
-	}
-	return false;
+	leader = kv_result_item(result, KEY_LEADER);
+	return leader != NULL &&
+	    leader->revision != l->node->elect.leader.revision;
 }
 
 bool
@@ -261,12 +258,10 @@
 update_revision(struct job_save *save, const struct save_row *row,
     const struct kv_result *result)
 {
-	size_t i;
+	const struct kv_item *progress;
 
-	for (i = 0; i < result->nitems; i++) {
-		if (strcmp(result->items[i].key, row->keys[0]) == 0)
-			save->revision = result->items[i].revision;
-	}
+	if ((progress = kv_result_item(result, row->keys[0])) != NULL)
+		save->revision = progress->revision;
 }
 
 /* The store doesn't say which record it refused: each is written alone next. */
--- a/entry/lead_tombstone.c
+++ b/entry/lead_tombstone.c
@@ -46,7 +46,7 @@
 static void
 request_finish(struct tombstone_request *request, enum tombstone_result result)
 {
-	request->done(result, request->ctx);
+	request->done(result, NULL, request->ctx);
 	free(request);
 }
 
@@ -57,7 +57,7 @@
 
 	if (l->sched->nabsent + l->ntombstones >= TOMBSTONES_MAX ||
 	    (request = calloc(1, sizeof(*request))) == NULL) {
-		done(TOMBSTONE_FULL, ctx);
+		done(TOMBSTONE_FULL, NULL, ctx);
 		return;
 	}
 	strlcpy(request->job, job, sizeof(request->job));
@@ -100,31 +100,57 @@
 	}
 }
 
-static bool
-has_record(
+static const struct kv_item *
+find_item(
     const struct tombstone_request *request, const struct kv_result *result)
 {
-	return job_record_compared(result, KEY_JOB, request->job) != NULL ||
-	    job_record_compared(result, KEY_ENDED, request->job) != NULL;
+	const struct kv_item *item;
+
+	item = job_record_compared(result, KEY_JOB, request->job);
+	if (item == NULL)
+		item = job_record_compared(result, KEY_ENDED, request->job);
+	return item;
+}
+
+/* Another job of the write has an item: this one is written again. */
+static void
+add_again(struct lead *l, struct tombstone_request *request)
+{
+	TAILQ_INSERT_TAIL(&l->tombstones, request, link);
+	l->ntombstones++;
+}
+
+static void
+handle_conflict(struct lead *l, struct tombstone_request *request,
+    const struct kv_result *result)
+{
+	const struct kv_item *item;
+
+	if ((item = find_item(request, result)) == NULL) {
+		add_again(l, request);
+		return;
+	}
+	request->done(TOMBSTONE_FOUND, item, request->ctx);
+	free(request);
 }
 
-/* After a conflict those without a record are written again. */
 static void
 handle_result(struct lead *l, struct tombstone_request *request,
     const struct kv_result *result)
 {
-	if (result->error == KV_OK) {
+	switch (result->error) {
+	case KV_OK:
 		sched_job_add_absent(l->sched, request->job, clock_now_ms());
 		counter_inc("lagoonpin_tombstones", "");
 		log_info("tombstone_written", "job=%s", request->job);
 		request_finish(request, TOMBSTONE_WRITTEN);
-	} else if (result->error != KV_CONFLICT)
+		break;
+	case KV_CONFLICT:
+		handle_conflict(l, request, result);
+		break;
+	default:
 		request_finish(request, TOMBSTONE_FAILED);
-	else if (has_record(request, result))
-		request_finish(request, TOMBSTONE_FOUND);
-	else {
-		TAILQ_INSERT_TAIL(&l->tombstones, request, link);
-		l->ntombstones++;
+		break;
 	}
 }
 
--- a/entry/seam.h
+++ b/entry/seam.h
@@ -43,6 +43,9 @@
 };
 typedef void kv_done(const struct kv_result *, void *ctx);
 
+/* The item of that key in a result; NULL: there is none. */
+const struct kv_item *kv_result_item(const struct kv_result *, const char *key);
+
 struct kv_compare {
 	const char *key;
 	int64_t revision; /* 0: the key must not exist */
