--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -853,7 +853,7 @@
 enum sched_wait {
 	WAIT_NONE, /* no task waits */
 	WAIT_FROZEN, /* another entry may lead */
-	WAIT_BACKOFF, /* its last run failed to start or was lost */
+	WAIT_BACKOFF, /* its last run failed, didn't start or was lost */
 	WAIT_INHERITED, /* it may run on a worker that hasn't answered */
 	WAIT_CLOSURES, /* which data centres are closed isn't known */
 	WAIT_ROOMS, /* the room of workers isn't known well enough */
--- a/entry/accept.c
+++ b/entry/accept.c
@@ -261,7 +261,7 @@
 		finish(job, NODE_ACCEPTED, "stored_before", 0);
 		break;
 	case ENDED_TOMBSTONE:
-		/* Also earlier writes of it find the tombstone. */
+		/* Certain: an earlier write can't create it any more. */
 		finish(job, NODE_NOT_DONE, "cancelled", node->opt.keep_ms);
 		break;
 	case ENDED_INVALID:
